Lay out the workspace: names, rules, accounts, peer protocol, stand-ins

Cause: an empty repository. Change: the packages core, policy, platform, peer and standin, with money kept as pure row changes and ledgers, and small stand-ins of what surrounds a router.

--- /dev/null
+++ b/crates/core/src/hash.rs
@@ -0,0 +1,22 @@
+//! Hashing that all routers of a fleet agree on.
+//!
+//! The values are stored and compared between processes, so the function is fixed: XXH3.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
+
+/// Hashes bytes to 64 bits, for fingerprints and placement.
+pub fn short(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
+/// Hashes bytes to 128 bits, where a collision would merge two requests' bills.
+pub fn long(bytes: &[u8]) -> u128 {
+    xxh3_128(bytes)
+}
+
+/// Scores a member for a key; the member with the highest score owns the key.
+///
+/// This is rendezvous hashing: when a member goes, only the keys that it owned move.
+pub fn score(key: u64, member: u64) -> u64 {
+    xxh3_64_with_seed(&member.to_le_bytes(), key)
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,29 @@
+//! Names, quantities, rules and settings that every package of fescuedrift shares.
+//!
+//! Nothing here does I/O or reads a clock, so each type can be used from the pure policy code,
+//! the router, the operators' command and the stand-ins alike.
+//!
+//! ```
+//! use fescue_core::{rules::Book, Tokens};
+//!
+//! let book = Book::parse("demo", "team yard key=00 weight=1 # asked by Awa").unwrap_err();
+//! assert!(book.to_string().contains("rules"));
+//! assert_eq!("12".parse::<Tokens>().unwrap(), Tokens::new(12));
+//! ```
+
+mod macros;
+
+pub mod hash;
+pub mod id;
+pub mod outcome;
+pub mod quantity;
+pub mod report;
+pub mod rules;
+pub mod settings;
+
+pub use id::{
+    BudgetId, ChangeId, DataCentreId, Incarnation, ModelId, RequestId, ServiceId, TeamId,
+    UpstreamId, VmId,
+};
+pub use outcome::{Execution, Refusal};
+pub use quantity::{Priority, Tokens, Weight};
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/peer/src/convert.rs
@@ -0,0 +1,174 @@
+//! Turns our types into messages and back.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use fescue_core::{Incarnation, Tokens, UpstreamId};
+use fescue_policy::bills::{Bill, BillId};
+use fescue_policy::ledger::Parts;
+use fescue_policy::witness::{Noted, Notes};
+
+use crate::{Copies, Greeting, PeerError, Take, wire};
+
+/// Parses a textual id of a message.
+pub(crate) fn parse<T>(text: &str) -> Result<T, PeerError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    let parsed = text.parse();
+    parsed.map_err(|e: T::Err| PeerError::Malformed(e.to_string()))
+}
+
+impl From<Greeting> for wire::Greeting {
+    fn from(greeting: Greeting) -> Self {
+        let suspects = greeting.suspects.into_iter();
+        let suspect = |(fingerprint, crashes)| wire::Suspect {
+            fingerprint,
+            crashes,
+        };
+        let upstreams = greeting.leaving_upstreams.iter();
+        let leaving = |(upstream, incarnation): &(UpstreamId, u64)| wire::Leaving {
+            upstream: upstream.to_string(),
+            incarnation: *incarnation,
+        };
+        Self {
+            incarnation: greeting.incarnation.get(),
+            vm: greeting.vm.to_string(),
+            data_centre: greeting.data_centre.to_string(),
+            rules: greeting.rules,
+            leaving: greeting.leaving,
+            leaving_upstreams: upstreams.map(leaving).collect(),
+            suspects: suspects.map(suspect).collect(),
+            closed: greeting.closed.iter().map(|c| c.get()).collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::Greeting> for Greeting {
+    type Error = PeerError;
+
+    fn try_from(message: wire::Greeting) -> Result<Self, PeerError> {
+        let suspects = message.suspects.iter();
+        let upstreams = message.leaving_upstreams.iter();
+        let leaving = |l: &wire::Leaving| Ok((parse(&l.upstream)?, l.incarnation));
+        Ok(Self {
+            incarnation: Incarnation::new(message.incarnation),
+            vm: parse(&message.vm)?,
+            data_centre: parse(&message.data_centre)?,
+            rules: message.rules,
+            leaving: message.leaving,
+            leaving_upstreams: upstreams.map(leaving).collect::<Result<_, _>>()?,
+            suspects: suspects.map(|s| (s.fingerprint, s.crashes)).collect(),
+            closed: message.closed.into_iter().map(Incarnation::new).collect(),
+        })
+    }
+}
+
+impl From<Take> for wire::TakeRequest {
+    fn from(take: Take) -> Self {
+        Self {
+            from: take.from.get(),
+            number: take.number,
+            budget: take.budget.to_string(),
+            want: take.want.get(),
+        }
+    }
+}
+
+impl TryFrom<wire::TakeRequest> for Take {
+    type Error = PeerError;
+
+    fn try_from(message: wire::TakeRequest) -> Result<Self, PeerError> {
+        Ok(Self {
+            from: Incarnation::new(message.from),
+            number: message.number,
+            budget: parse(&message.budget)?,
+            want: Tokens::new(message.want),
+        })
+    }
+}
+
+pub(crate) fn parts_out(parts: &Parts) -> Vec<wire::Part> {
+    let part = |part: &fescue_policy::ledger::Part| wire::Part {
+        origin: part.origin.get(),
+        amount: part.amount.get(),
+    };
+    parts.iter().map(part).collect()
+}
+
+pub(crate) fn parts_in(message: &[wire::Part]) -> Parts {
+    let mut parts = Parts::default();
+    for part in message {
+        parts.push(Incarnation::new(part.origin), Tokens::new(part.amount));
+    }
+    parts
+}
+
+pub(crate) fn notes_out(notes: &Notes) -> Vec<wire::Total> {
+    let total =
+        |(budget, origin, amount): (&fescue_core::BudgetId, Incarnation, Tokens)| wire::Total {
+            budget: budget.to_string(),
+            origin: origin.get(),
+            amount: amount.get(),
+        };
+    notes.iter().map(total).collect()
+}
+
+pub(crate) fn notes_in(message: &[wire::Total]) -> Result<Notes, PeerError> {
+    let mut notes = Notes::default();
+    for total in message {
+        let origin = Incarnation::new(total.origin);
+        notes.raise(&parse(&total.budget)?, origin, Tokens::new(total.amount));
+    }
+    Ok(notes)
+}
+
+pub(crate) fn noted_out(noted: Noted) -> wire::Noted {
+    match noted {
+        Noted::Yes => wire::Noted::Yes,
+        Noted::Unseeded => wire::Noted::Unseeded,
+        Noted::Refused => wire::Noted::Refused,
+    }
+}
+
+pub(crate) fn noted_in(message: wire::Noted) -> Noted {
+    match message {
+        wire::Noted::Yes => Noted::Yes,
+        wire::Noted::Unseeded => Noted::Unseeded,
+        wire::Noted::Refused => Noted::Refused,
+    }
+}
+
+pub(crate) fn copies_out(owner: Incarnation, copies: &Copies) -> wire::KeepRequest {
+    let bill = |bill: &Bill| wire::Bill {
+        number: bill.id.number,
+        request: bill.request.to_string(),
+        budget: bill.budget.to_string(),
+        body: bill.body,
+        charges: parts_out(&bill.charges),
+    };
+    wire::KeepRequest {
+        owner: owner.get(),
+        bills: copies.bills.iter().map(bill).collect(),
+        stored: copies.stored.clone(),
+    }
+}
+
+pub(crate) fn copies_in(message: &wire::KeepRequest) -> Result<Copies, PeerError> {
+    let by = Incarnation::new(message.owner);
+    let bill = |bill: &wire::Bill| {
+        let number = bill.number;
+        Ok(Bill {
+            id: BillId { by, number },
+            request: parse(&bill.request)?,
+            budget: parse(&bill.budget)?,
+            charges: parts_in(&bill.charges),
+            body: bill.body,
+        })
+    };
+    Ok(Copies {
+        bills: message.bills.iter().map(bill).collect::<Result<_, _>>()?,
+        stored: message.stored.clone(),
+    })
+}
--- /dev/null
+++ b/crates/peer/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Checks of the peer protocol.
+
+mod generated;
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,151 @@
+//! The order in which waiting requests get upstream capacity.
+//!
+//! Between priorities: the most urgent first, but a priority that has fallen behind its guaranteed
+//! share while it had work goes before it. Inside a priority: the team that was served least for
+//! its weight, in tokens. See [docs/design/service.md](../../../docs/design/service.md).
+
+mod class;
+
+use std::time::Duration;
+
+use fescue_core::{Priority, TeamId, Tokens, Weight};
+
+use class::Class;
+
+/// Names one waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Its name.
+    pub ticket: Ticket,
+    /// Its priority.
+    pub priority: Priority,
+    /// Its team.
+    pub team: TeamId,
+    /// The team's weight.
+    pub weight: Weight,
+    /// Its upper bound in tokens.
+    pub cost: Tokens,
+    /// When its target can't be met any more, as a time since any fixed start.
+    pub deadline: Duration,
+}
+
+/// How contended capacity is shared between priorities, in percent, by [`Priority::index`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares(pub [u32; 3]);
+
+impl Default for Shares {
+    fn default() -> Self {
+        Self([60, 30, 10])
+    }
+}
+
+/// The requests that wait for one pool of upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    shares: Shares,
+    classes: [Class; 3],
+    credit: [f64; 3],
+}
+
+/// The most that a priority may save up, in tokens, so that it can't hold the pool for long.
+const MOST_CREDIT: f64 = 16_384.0;
+
+impl Queue {
+    /// Opens an empty queue.
+    pub fn open(shares: Shares) -> Self {
+        Self {
+            shares,
+            ..Self::default()
+        }
+    }
+
+    /// Changes the guaranteed shares.
+    pub fn set_shares(&mut self, shares: Shares) {
+        self.shares = shares;
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, waiting: Waiting) {
+        let index = waiting.priority.index();
+        self.classes[index].push(waiting);
+    }
+
+    /// Takes out the request that comes next, of the priorities that `allowed` names.
+    pub fn pop(&mut self, allowed: impl Fn(Priority) -> bool) -> Option<Waiting> {
+        let ready = |p: &Priority| !self.classes[p.index()].is_empty() && allowed(*p);
+        let ready: Vec<_> = Priority::ALL.into_iter().filter(ready).collect();
+        let priority = self.behind(&ready).or(ready.first().copied())?;
+        let waiting = self.classes[priority.index()].pop()?;
+        self.charge(priority, waiting.cost);
+        Some(waiting)
+    }
+
+    /// Takes out a request whose caller went or whose deadline passed.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        self.classes.iter_mut().find_map(|c| c.remove(ticket))
+    }
+
+    /// Takes out the requests whose deadline has passed.
+    pub fn expire(&mut self, now: Duration) -> Vec<Waiting> {
+        let classes = self.classes.iter_mut();
+        classes.flat_map(|class| class.expire(now)).collect()
+    }
+
+    /// Returns the tokens that wait at a priority and at those more urgent.
+    pub fn ahead(&self, priority: Priority) -> Tokens {
+        let classes = &self.classes[..=priority.index()];
+        classes.iter().map(Class::cost).sum()
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.classes.iter().map(Class::len).sum()
+    }
+
+    /// Returns whether none wait.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns how many wait at one priority.
+    pub fn waiting(&self, priority: Priority) -> usize {
+        self.classes[priority.index()].len()
+    }
+
+    /// Returns the priority that is furthest behind its share and owed its next request.
+    fn behind(&self, ready: &[Priority]) -> Option<Priority> {
+        let owed = |p: &&Priority| {
+            let next = self.classes[p.index()].next_cost();
+            next.is_some_and(|cost| self.credit[p.index()] >= cost.get() as f64)
+        };
+        let ready = ready.iter().filter(owed);
+        let most = ready.max_by(|a, b| {
+            let (a, b) = (self.credit[a.index()], self.credit[b.index()]);
+            a.total_cmp(&b)
+        });
+        most.copied()
+    }
+
+    /// Counts a served request: those that wait earn their share of it, the served one pays.
+    fn charge(&mut self, served: Priority, cost: Tokens) {
+        let cost = cost.get() as f64;
+        let backlogged = |p: &Priority| !self.classes[p.index()].is_empty() || *p == served;
+        let sharing: Vec<_> = Priority::ALL.into_iter().filter(backlogged).collect();
+        let total: u32 = sharing.iter().map(|p| self.shares.0[p.index()]).sum();
+        for priority in Priority::ALL {
+            let index = priority.index();
+            if !sharing.contains(&priority) {
+                self.credit[index] = 0.0;
+                continue;
+            }
+            let share = f64::from(self.shares.0[index]) / f64::from(total.max(1));
+            let paid = if priority == served { cost } else { 0.0 };
+            let credit = self.credit[index] + cost * share - paid;
+            self.credit[index] = credit.clamp(-MOST_CREDIT, MOST_CREDIT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,7 @@
+//! The platform's stand-in: table service, object store and VM list, with faults.
+
+mod memory;
+mod routes;
+
+pub use memory::{Faults, Memory, Usage};
+pub use routes::router;
--- /dev/null
+++ b/crates/standin/src/platform/routes.rs
@@ -0,0 +1,117 @@
+//! The platform's protocol over HTTP, as [`fescue_platform::http`] speaks it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post, put};
+use axum::{Json, Router};
+use fescue_platform::http::{ReadRequest, ScanRequest};
+use fescue_platform::{Commit, Objects, Table, TableError, Transaction, Vm, VmList};
+
+use super::{Faults, Memory};
+
+/// How long a lost answer keeps its caller waiting; longer than any caller waits.
+const LOST: Duration = Duration::from_secs(120);
+
+type Platform = State<Arc<Memory>>;
+
+/// Returns the routes of the platform's services and of its control address.
+pub fn router(memory: Arc<Memory>) -> Router {
+    Router::new()
+        .route("/v1/read", post(read))
+        .route("/v1/scan", post(scan))
+        .route("/v1/transact", post(transact))
+        .route("/v1/objects/{name}", put(put_object).get(get_object))
+        .route("/v1/vms", get(vms))
+        .route("/control/faults", put(set_faults).get(faults))
+        .route("/control/vms", put(set_vms))
+        .route("/control/usage", get(usage))
+        .with_state(memory)
+}
+
+async fn answer<T: serde::Serialize>(result: Result<T, TableError>) -> Response {
+    match result {
+        Ok(value) => Json(value).into_response(),
+        Err(TableError::Lost(_)) => {
+            tokio::time::sleep(LOST).await;
+            StatusCode::GATEWAY_TIMEOUT.into_response()
+        }
+        Err(error) => (StatusCode::SERVICE_UNAVAILABLE, error.to_string()).into_response(),
+    }
+}
+
+/// Keeps callers that are cut off waiting, as a network that drops packets does.
+async fn cut(memory: &Memory, headers: &HeaderMap) {
+    let name = headers.get("x-vm").and_then(|v| v.to_str().ok());
+    let name = name.unwrap_or_default().to_owned();
+    if memory.faults().cut.contains(&name) {
+        tokio::time::sleep(LOST).await;
+    }
+}
+
+async fn read(
+    State(memory): Platform,
+    headers: HeaderMap,
+    Json(request): Json<ReadRequest>,
+) -> Response {
+    cut(&memory, &headers).await;
+    answer(memory.read(&request.keys).await).await
+}
+
+async fn scan(
+    State(memory): Platform,
+    headers: HeaderMap,
+    Json(request): Json<ScanRequest>,
+) -> Response {
+    cut(&memory, &headers).await;
+    let rows = memory.scan(&request.prefix, &request.after, request.limit);
+    answer(rows.await).await
+}
+
+async fn transact(
+    State(memory): Platform,
+    headers: HeaderMap,
+    Json(transaction): Json<Transaction>,
+) -> Response {
+    cut(&memory, &headers).await;
+    let commit = memory.transact(&transaction).await;
+    answer(commit.map(|commit| commit == Commit::Done)).await
+}
+
+async fn put_object(State(memory): Platform, Path(name): Path<String>, body: Bytes) -> Response {
+    let stored = memory.put(&name, body.to_vec()).await;
+    answer(stored.map(|()| true)).await
+}
+
+async fn get_object(State(memory): Platform, Path(name): Path<String>) -> Response {
+    match memory.get(&name).await {
+        Ok(Some(bytes)) => bytes.into_response(),
+        Ok(None) => StatusCode::NOT_FOUND.into_response(),
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+async fn vms(State(memory): Platform, headers: HeaderMap) -> Response {
+    cut(&memory, &headers).await;
+    answer(memory.vms().await).await
+}
+
+async fn set_faults(State(memory): Platform, Json(faults): Json<Faults>) {
+    memory.set_faults(faults);
+}
+
+async fn faults(State(memory): Platform) -> Json<Faults> {
+    Json(memory.faults())
+}
+
+async fn set_vms(State(memory): Platform, Json(vms): Json<Vec<Vm>>) {
+    memory.set_vms(vms);
+}
+
+async fn usage(State(memory): Platform) -> Json<super::Usage> {
+    Json(memory.usage())
+}
