--- /dev/null
+++ b/crates/ctl/src/cmd.rs
@@ -0,0 +1,53 @@
+//! The commands, one file each.
+
+mod bill;
+mod budget;
+mod rules;
+mod status;
+mod team;
+mod upstream;
+mod vm;
+
+use argh::FromArgs;
+use rand::Rng;
+
+use crate::Failure;
+use crate::client::Client;
+
+/// What to do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Rules(rules::Args),
+    Team(team::Args),
+    Budget(budget::Args),
+    Bill(bill::Args),
+    Upstream(upstream::Args),
+    Vm(vm::Args),
+    Status(status::Args),
+}
+
+impl Command {
+    /// Carries the command out.
+    pub async fn run(self, client: &Client, json: bool) -> Result<(), Failure> {
+        match self {
+            Self::Rules(args) => args.run(client, json).await,
+            Self::Team(args) => args.run(client, json).await,
+            Self::Budget(args) => args.run(client, json).await,
+            Self::Bill(args) => args.run(client, json).await,
+            Self::Upstream(args) => args.run(client, json).await,
+            Self::Vm(args) => args.run(client, json).await,
+            Self::Status(args) => args.run(client, json).await,
+        }
+    }
+}
+
+/// Returns the change id given, or a new one, which is printed so that a lost answer can be asked
+/// for again.
+fn change_id(given: Option<String>) -> String {
+    given.unwrap_or_else(|| {
+        let id = format!("c-{:016x}", rand::rng().random::<u64>());
+        eprintln!("change id {id}");
+        id
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/upstream.rs
@@ -0,0 +1,62 @@
+//! `upstream`: model engines and plain services.
+
+use argh::FromArgs;
+use fescue_core::UpstreamId;
+use serde_json::json;
+
+use crate::client::Client;
+use crate::{Failure, print};
+
+/// the upstreams, as the router sees them
+#[derive(FromArgs)]
+#[argh(subcommand, name = "upstream")]
+pub struct Args {
+    #[argh(subcommand)]
+    verb: Verb,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Verb {
+    List(List),
+    Drain(Drain),
+}
+
+/// list the upstreams
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {}
+
+/// give an upstream no new work
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct Drain {
+    /// the upstream
+    #[argh(positional)]
+    name: UpstreamId,
+}
+
+impl Args {
+    pub async fn run(self, client: &Client, json: bool) -> Result<(), Failure> {
+        match self.verb {
+            Verb::List(List {}) => {
+                let answer = client.get("/admin/v1/upstreams").await?;
+                let columns = [
+                    "name",
+                    "data_centre",
+                    "own",
+                    "estimate",
+                    "slots",
+                    "leaving",
+                    "tripped",
+                ];
+                print::rows(json, &answer, "upstreams", &columns);
+            }
+            Verb::Drain(Drain { name }) => {
+                let path = format!("/admin/v1/upstreams/{name}/drain");
+                print::fields(json, &client.post(&path, &json!({})).await?);
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/platform/src/accounts.rs
+++ b/crates/platform/src/accounts.rs
@@ -9,6 +9,7 @@
 use fescue_core::{BudgetId, ChangeId, DataCentreId, Incarnation, Tokens, VmId};
 use fescue_policy::account::{AllowanceRow, BudgetRow, Closing, TopUpRow};
 use fescue_policy::ledger::Parts;
+use fescue_policy::sizing::{Outlook, Policy};
 use indexmap::IndexMap;
 
 use crate::table::scan_all;
@@ -30,12 +31,12 @@
 }
 
 /// What a router asks of the table in one exchange.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct Exchange {
     /// Counts the exchanges of an incarnation.
     pub number: u64,
-    /// What it wants to draw.
-    pub draws: IndexMap<BudgetId, Tokens>,
+    /// What it knows of each budget that it wants to draw on.
+    pub draws: IndexMap<BudgetId, Outlook>,
     /// What it gives back, by budget and origin.
     pub returns: IndexMap<BudgetId, Parts>,
 }
@@ -140,6 +141,8 @@
 
     /// Draws and gives back, once for each number, and returns what was drawn.
     ///
+    /// How much is drawn is left to `policy`, which sees what each budget has free.
+    ///
     /// # Errors
     ///
     /// [`TableError::Lost`] when it may have taken effect; it is then asked again with the same
@@ -148,6 +151,7 @@
         &self,
         owner: Incarnation,
         ask: &Exchange,
+        policy: &dyn Policy,
     ) -> Result<IndexMap<BudgetId, Tokens>, TableError> {
         let mut names = vec![keys::allowance(owner)];
         let returned = ask.returns.values().flat_map(Parts::iter);
@@ -156,7 +160,7 @@
         let budgets = ask.draws.keys().chain(ask.returns.keys());
         names.extend(budgets.map(keys::budget));
         dedup(&mut names);
-        self.repeat(&names, |rows| plan_exchange(owner, ask, rows))
+        self.repeat(&names, |rows| plan_exchange(owner, ask, policy, rows))
             .await
     }
 
@@ -185,6 +189,16 @@
         .await
     }
 
+    /// Returns the allowances of one incarnation.
+    ///
+    /// # Errors
+    ///
+    /// When the store can't be reached.
+    pub async fn allowance(&self, owner: Incarnation) -> Result<Option<AllowanceRow>, TableError> {
+        let rows = self.table.read(&[keys::allowance(owner)]).await?;
+        rows[0].decode()
+    }
+
     /// Returns the allowances of all incarnations.
     ///
     /// # Errors
@@ -388,6 +402,7 @@
 fn plan_exchange(
     owner: Incarnation,
     ask: &Exchange,
+    policy: &dyn Policy,
     rows: &[Row],
 ) -> Result<Step<IndexMap<BudgetId, Tokens>>, TableError> {
     let mut own = allowance(&rows[0], owner)?;
@@ -409,7 +424,13 @@
             budget.take_back(other.line(id), part.amount)?;
         }
     }
-    let drawn = own.draw(owner, ask.number, &ask.draws, &mut budgets)?;
+    let mut wants = IndexMap::new();
+    for (id, outlook) in &ask.draws {
+        let free = budgets.get(id).map_or(Tokens::ZERO, |budget| budget.free);
+        let outlook = Outlook { free, ..*outlook };
+        wants.insert(id.clone(), policy.draw(&outlook));
+    }
+    let drawn = own.draw(owner, ask.number, &wants, &mut budgets)?;
     let mut write = write_all(rows, &own, &budgets);
     for (origin, other) in &others {
         let key = keys::allowance(*origin);
--- a/crates/policy/src/sizing.rs
+++ b/crates/policy/src/sizing.rs
@@ -16,6 +16,10 @@
 /// How much further ahead a router draws while the store looks unwell.
 const UNWELL_FACTOR: f64 = 4.0;
 
+/// The part of its target below which a draw ahead of need isn't worth a write. What is left then
+/// stays in the table for whoever needs it first.
+const LEAST_AHEAD: f64 = 0.05;
+
 /// A moving average of the tokens asked for a second.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
@@ -112,7 +116,8 @@
         let low = target.scale(0.5);
         let wanted = target.saturating_sub(outlook.unspent);
         let ahead = wanted.min(self.bound(outlook));
-        if outlook.needed.is_zero() && outlook.unspent >= low {
+        let enough = outlook.unspent >= low || ahead < target.scale(LEAST_AHEAD);
+        if outlook.needed.is_zero() && enough {
             return Tokens::ZERO;
         }
         outlook.needed.max(ahead)
--- /dev/null
+++ b/crates/router/src/admin/budgets.rs
@@ -0,0 +1,155 @@
+//! Budgets, what is held back of them, and bills.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use fescue_core::{BudgetId, ChangeId, Incarnation, TeamId, Tokens};
+use fescue_platform::TableError;
+use fescue_policy::account::AccountError;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::{Admin, Problem};
+
+type Answer = Result<Json<Value>, Problem>;
+
+/// A top-up.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct TopUp {
+    id: ChangeId,
+    amount: Tokens,
+    author: String,
+}
+
+/// A release of what a closed incarnation holds of one budget.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Release {
+    budget: BudgetId,
+    author: String,
+}
+
+/// Which bills to list.
+#[derive(Debug, Deserialize)]
+pub(super) struct Which {
+    team: Option<TeamId>,
+}
+
+pub(super) async fn list(State(admin): State<Arc<Admin>>) -> Answer {
+    let rows = admin.accounts.budgets().await?;
+    let allowances = admin.accounts.allowances().await?;
+    let budgets: Vec<_> = rows
+        .iter()
+        .map(|(id, row)| {
+            let lines = allowances.values().filter_map(|a| a.lines.get(id));
+            let (mut billed, mut out) = (row.settled, Tokens::ZERO);
+            for line in lines {
+                billed = billed.saturating_add(line.billed);
+                out = out.saturating_add(line.outstanding());
+            }
+            json!({
+                "budget": id, "credited": row.credited, "free": row.free,
+                "billed": billed, "with_routers": out,
+            })
+        })
+        .collect();
+    Ok(Json(json!({"budgets": budgets})))
+}
+
+pub(super) async fn show(
+    State(admin): State<Arc<Admin>>,
+    Path((team, name)): Path<(String, String)>,
+) -> Answer {
+    let id = budget(&team, &name)?;
+    let Json(all) = list(State(admin)).await?;
+    let rows = all["budgets"].as_array().cloned().unwrap_or_default();
+    let found = rows.into_iter().find(|row| row["budget"] == json!(id));
+    found
+        .map(Json)
+        .ok_or_else(|| Problem::missing(format!("budget {id} was never topped up")))
+}
+
+pub(super) async fn top_up(
+    State(admin): State<Arc<Admin>>,
+    Path((team, name)): Path<(String, String)>,
+    Json(ask): Json<TopUp>,
+) -> Answer {
+    let id = budget(&team, &name)?;
+    if !admin.board.book().budgets.contains_key(&id) {
+        return Err(Problem::missing(format!("no rule names a budget {id}")));
+    }
+    let row = admin
+        .accounts
+        .top_up(&ask.id, &id, ask.amount, &ask.author)
+        .await;
+    let row = row.map_err(|error| match error {
+        TableError::Refused(AccountError::Nothing | AccountError::TooMuch) => {
+            Problem::bad(error.to_string())
+        }
+        error => error.into(),
+    })?;
+    let stored = admin.accounts.find_top_up(&ask.id).await?;
+    let same = stored.is_some_and(|s| s.budget == id && s.amount == ask.amount);
+    if !same {
+        let message = format!("change {} was another top-up", ask.id);
+        return Err(Problem::new(StatusCode::CONFLICT, "id_reused", message));
+    }
+    tracing::info!(budget = %id, tokens = %ask.amount, author = ask.author, "topped up");
+    Ok(Json(
+        json!({"budget": id, "credited": row.credited, "free": row.free}),
+    ))
+}
+
+pub(super) async fn held(State(admin): State<Arc<Admin>>) -> Answer {
+    let rows = admin.accounts.allowances().await?;
+    let mut held = Vec::new();
+    for (owner, row) in rows.iter().filter(|(_, row)| row.closed.is_some()) {
+        let waits = rows
+            .values()
+            .filter(|other| other.closed.is_none() && !other.acknowledged.contains(owner));
+        let waits: Vec<_> = waits.map(|other| other.vm.clone()).collect();
+        for (budget, line) in &row.lines {
+            if line.outstanding().is_zero() {
+                continue;
+            }
+            held.push(json!({
+                "incarnation": owner, "vm": row.vm, "budget": budget,
+                "tokens": line.outstanding(), "unacknowledged": waits,
+            }));
+        }
+    }
+    Ok(Json(json!({"held": held})))
+}
+
+pub(super) async fn release(
+    State(admin): State<Arc<Admin>>,
+    Path(incarnation): Path<String>,
+    Json(ask): Json<Release>,
+) -> Answer {
+    let owner: Incarnation = incarnation
+        .parse()
+        .map_err(|e: fescue_core::id::IdError| Problem::bad(e.to_string()))?;
+    let released = admin.accounts.release(owner, &ask.budget).await?;
+    tracing::warn!(%owner, budget = %ask.budget, tokens = %released, author = ask.author, "held tokens released");
+    Ok(Json(json!({"budget": ask.budget, "released": released})))
+}
+
+pub(super) async fn bills(State(admin): State<Arc<Admin>>, Query(which): Query<Which>) -> Answer {
+    let bills = admin.billing.list(which.team.as_ref()).await?;
+    let rows: Vec<_> = bills
+        .iter()
+        .map(
+            |bill| json!({"request": bill.request, "budget": bill.budget, "tokens": bill.amount()}),
+        )
+        .collect();
+    Ok(Json(json!({"bills": rows})))
+}
+
+fn budget(team: &str, name: &str) -> Result<BudgetId, Problem> {
+    let id = format!("{team}/{name}");
+    id.parse()
+        .map_err(|e: fescue_core::id::IdError| Problem::bad(e.to_string()))
+}
--- /dev/null
+++ b/crates/router/src/allowance/clearing.rs
@@ -0,0 +1,205 @@
+//! Has witnesses note blocks before they are spent.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fescue_core::{BudgetId, Incarnation, Tokens};
+use fescue_peer::{Link, PeerError};
+use fescue_platform::TableError;
+use fescue_platform::accounts::Accounts;
+use fescue_policy::ledger::Parts;
+use fescue_policy::witness::{self, Noted, Notes};
+use fescue_policy::{account::AccountError, duty};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::sync::Mutex;
+
+use crate::blackboard::Board;
+
+/// How long a witness may take to note a block.
+const NOTE: Duration = Duration::from_millis(400);
+
+/// What this router's witnesses know.
+#[derive(Default)]
+struct Witnesses {
+    /// All that was ever sent to be noted.
+    notes: Notes,
+    /// The witnesses that the table names.
+    declared: Vec<Incarnation>,
+    /// Set while the table may name others than `declared`.
+    uncertain: bool,
+    /// Those that hold all totals.
+    seeded: HashSet<Incarnation>,
+    /// The closed incarnations that the table says are acknowledged.
+    acknowledged: Vec<Incarnation>,
+}
+
+/// Has blocks noted.
+#[derive(Clone)]
+pub struct Clearing {
+    board: Arc<Board>,
+    accounts: Accounts,
+    state: Arc<Mutex<Witnesses>>,
+}
+
+impl Clearing {
+    /// Opens the clearing of a router that has no witnesses yet.
+    pub fn open(board: Arc<Board>, accounts: Accounts) -> Self {
+        let state = Arc::default();
+        Self {
+            board,
+            accounts,
+            state,
+        }
+    }
+
+    /// Has up to `want` free tokens noted and returns how many may be spent now.
+    pub async fn clear(&self, budget: &BudgetId, want: Tokens) -> Tokens {
+        let mut state = self.state.lock().await;
+        let parts = self.board.ledger.lock().start_clearing(budget, want);
+        if parts.is_empty() {
+            return Tokens::ZERO;
+        }
+        let noted = self.note(&mut state, budget, &parts).await;
+        let mut ledger = self.board.ledger.lock();
+        ledger.end_clearing(budget, &parts, noted);
+        if noted { parts.total() } else { Tokens::ZERO }
+    }
+
+    /// Names other witnesses when one is gone or more could be had, and acknowledges closings.
+    pub async fn review(&self) {
+        if self.board.fence() == 0 {
+            return;
+        }
+        let mut state = self.state.lock().await;
+        let wanted = self.candidates(&state.declared);
+        let acknowledged = self.acknowledged();
+        let same = state.declared == wanted && state.acknowledged == acknowledged;
+        if same && !state.uncertain {
+            return;
+        }
+        let was_uncertain = std::mem::replace(&mut state.uncertain, true);
+        let me = self.board.me.incarnation;
+        match self.accounts.declare(me, &wanted, &acknowledged).await {
+            Ok(()) => {
+                tracing::info!(witnesses = ?wanted, closed = acknowledged.len(), "witnesses named");
+                if state.declared != wanted {
+                    state.seeded.clear();
+                }
+                state.declared = wanted;
+                state.acknowledged = acknowledged;
+                state.uncertain = false;
+            }
+            Err(TableError::Refused(AccountError::Closed(_))) => self.board.oust(),
+            Err(TableError::Unavailable(_)) => state.uncertain = was_uncertain,
+            Err(error) => {
+                tracing::warn!(%error, "the table may name other witnesses");
+            }
+        }
+    }
+
+    /// Returns the witnesses to name: those that stay, then others of the own data centre.
+    fn candidates(&self, declared: &[Incarnation]) -> Vec<Incarnation> {
+        let me = &self.board.me;
+        let members = self.board.members.lock();
+        let near = members.alive();
+        let near = near.filter(|(_, m)| m.data_centre == me.data_centre && !m.leaving);
+        let mut near: Vec<_> = near.map(|(incarnation, _)| incarnation).collect();
+        duty::ranked(me.incarnation.get(), &mut near);
+        let kept = declared.iter().filter(|w| near.contains(w)).copied();
+        let mut chosen: Vec<_> = kept.collect();
+        let new: Vec<_> = near
+            .iter()
+            .filter(|w| !chosen.contains(w))
+            .copied()
+            .collect();
+        chosen.extend(new);
+        chosen.truncate(witness::wanted(near.len()));
+        chosen
+    }
+
+    /// Returns the closed incarnations of which nothing is held here and never will be.
+    fn acknowledged(&self) -> Vec<Incarnation> {
+        let mut closed: Vec<_> = self.board.closed.lock().iter().copied().collect();
+        closed.sort_unstable();
+        let ledger = self.board.ledger.lock();
+        closed.retain(|origin| ledger.is_clear_of(*origin));
+        drop(ledger);
+        let kept = self.board.kept.lock();
+        let bills = kept.values().flat_map(|bills| bills.values());
+        let charged: HashSet<_> = bills
+            .flat_map(|bill| bill.charges.iter().map(|part| part.origin))
+            .collect();
+        closed.retain(|origin| !charged.contains(origin) && !kept.contains_key(origin));
+        closed
+    }
+
+    async fn note(&self, state: &mut Witnesses, budget: &BudgetId, parts: &Parts) -> bool {
+        if state.uncertain || self.board.ousted.load(Ordering::Acquire) {
+            return false;
+        }
+        state.notes.add(budget, parts);
+        if state.declared.is_empty() {
+            return true;
+        }
+        let mut block = Notes::default();
+        for part in parts.iter() {
+            let total = state.notes.get(budget, part.origin);
+            block.raise(budget, part.origin, total);
+        }
+        let majority = witness::majority(state.declared.len());
+        let (notes, declared) = (&state.notes, state.declared.clone());
+        let mut asked: FuturesUnordered<_> = declared
+            .iter()
+            .map(|w| self.ask(*w, state.seeded.contains(w), &block, notes))
+            .collect();
+        let mut noted = Vec::new();
+        while let Some(answer) = asked.next().await {
+            noted.extend(answer);
+            if noted.len() >= majority {
+                break;
+            }
+        }
+        drop(asked);
+        state.seeded.extend(&noted);
+        noted.len() >= majority
+    }
+
+    /// Asks one witness; returns it if it noted the block.
+    async fn ask(
+        &self,
+        witness: Incarnation,
+        seeded: bool,
+        block: &Notes,
+        whole: &Notes,
+    ) -> Option<Incarnation> {
+        let link = self.board.members.lock().link(witness)?;
+        let notes = if seeded { block } else { whole };
+        let noted = match self.send(&link, notes, !seeded).await {
+            Ok(Noted::Unseeded) => self.send(&link, whole, true).await,
+            answer => answer,
+        };
+        match noted {
+            Ok(Noted::Yes) => Some(witness),
+            Ok(Noted::Refused) => {
+                self.board.oust();
+                None
+            }
+            Ok(Noted::Unseeded) | Err(_) => None,
+        }
+    }
+
+    async fn send(
+        &self,
+        link: &Arc<dyn Link>,
+        notes: &Notes,
+        whole: bool,
+    ) -> Result<Noted, PeerError> {
+        let me = self.board.me.incarnation;
+        let answer = tokio::time::timeout(NOTE, link.note(me, notes.clone(), whole));
+        let late = |_| PeerError::Lost("the witness is late".to_owned());
+        answer.await.map_err(late)?
+    }
+}
--- /dev/null
+++ b/crates/router/src/allowance/round.rs
@@ -0,0 +1,262 @@
+//! The rounds of the allowance controller.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use fescue_core::{BudgetId, Incarnation, Tokens};
+use fescue_platform::TableError;
+use fescue_platform::accounts::{Accounts, Exchange};
+use fescue_policy::account::AccountError;
+use fescue_policy::ledger::Parts;
+use tokio::sync::{oneshot, watch};
+
+use super::clearing::Clearing;
+use super::plan;
+use super::taking::Taking;
+use crate::blackboard::{Board, Verdict};
+
+/// How many seconds of demand one block covers.
+const BLOCK_SECONDS: f64 = 5.0;
+
+/// The smallest block, in tokens.
+const LEAST_BLOCK: Tokens = Tokens::new(1024);
+
+/// How many rounds without a failure make the store well again.
+const WELL_AFTER: u32 = 20;
+
+/// What the table said in a round.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Store {
+    Answered,
+    Silent,
+}
+
+/// The allowance controller.
+pub struct Rounds {
+    board: Arc<Board>,
+    accounts: Accounts,
+    clearing: Clearing,
+    taking: Taking,
+    /// An exchange that may have taken effect; it is asked again before any other.
+    pending: Option<Exchange>,
+    exchanges: u64,
+    unwell: u32,
+    done: watch::Sender<u64>,
+}
+
+impl Rounds {
+    /// Opens the controller of a router that holds nothing yet.
+    pub fn open(board: Arc<Board>, accounts: Accounts, clearing: Clearing) -> Self {
+        Self {
+            board,
+            accounts,
+            clearing,
+            taking: Taking::default(),
+            pending: None,
+            exchanges: 0,
+            unwell: 0,
+            done: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns where the numbers of finished rounds can be followed.
+    pub fn follow(&self) -> watch::Receiver<u64> {
+        self.done.subscribe()
+    }
+
+    /// Holds a round whenever there is a need, and at the pace of the settings, until `stopped`.
+    pub async fn run_until(&mut self, stopped: &mut oneshot::Receiver<()>) {
+        loop {
+            let pause = tokio::time::sleep(self.board.settings.pace.allowance);
+            tokio::select! {
+                () = self.board.need.notified() => {}
+                () = pause => {}
+                _ = &mut *stopped => return,
+            }
+            self.round().await;
+        }
+    }
+
+    /// Holds one round.
+    pub async fn round(&mut self) {
+        let round = self.board.needs.lock().begin_round();
+        self.register().await;
+        self.clearing.review().await;
+        let store = self.exchange().await;
+        let budgets = self.wanting();
+        for (budget, waiting) in &budgets {
+            self.serve(budget, *waiting, round, store).await;
+        }
+        self.done.send_replace(round);
+    }
+
+    /// Gives everything unspent back to the table; returns whether nothing is left to give.
+    pub async fn give_all_back(&mut self) -> bool {
+        if self.board.fence() == 0 {
+            return self.board.ledger.lock().purses().next().is_none();
+        }
+        if let Some(ask) = self.pending.take()
+            && self.ask(ask).await == Store::Silent
+        {
+            return false;
+        }
+        let mut ask = Exchange::default();
+        {
+            let mut ledger = self.board.ledger.lock();
+            let budgets: Vec<_> = ledger.purses().map(|(id, _)| id.clone()).collect();
+            for budget in budgets {
+                let all = plan::unspent(&ledger, &budget);
+                let parts = ledger.withdraw(&budget, all);
+                if !parts.is_empty() {
+                    ask.returns.insert(budget, parts);
+                }
+            }
+        }
+        if ask.is_empty() {
+            return true;
+        }
+        ask.number = self.exchanges + 1;
+        self.ask(ask).await == Store::Answered
+    }
+
+    /// Opens this incarnation's row, once.
+    async fn register(&mut self) {
+        if self.board.fence() != 0 {
+            return;
+        }
+        let me = &self.board.me;
+        let registered = self
+            .accounts
+            .register(me.incarnation, &me.vm, &me.data_centre);
+        match registered.await {
+            Ok(fence) => {
+                self.board.fence.store(fence, Ordering::Release);
+                tracing::info!(incarnation = %me.incarnation, fence, "registered");
+            }
+            Err(error) => self.count_failure(&error),
+        }
+    }
+
+    /// Asks the table what the last round left open, or else what is planned now.
+    async fn exchange(&mut self) -> Store {
+        if self.board.fence() == 0 {
+            return Store::Silent;
+        }
+        if let Some(ask) = self.pending.take()
+            && self.ask(ask).await == Store::Silent
+        {
+            return Store::Silent;
+        }
+        let unwell = self.unwell > 0;
+        let ask = plan::exchange(&self.board, self.exchanges + 1, unwell);
+        if ask.is_empty() {
+            return Store::Answered;
+        }
+        self.ask(ask).await
+    }
+
+    /// Asks the table for one exchange and keeps it for later if its answer is lost.
+    async fn ask(&mut self, ask: Exchange) -> Store {
+        self.exchanges = ask.number;
+        let me = self.board.me.incarnation;
+        let policy = plan::policy(&self.board);
+        match self.accounts.exchange(me, &ask, &policy).await {
+            Ok(drawn) => {
+                self.unwell = self.unwell.saturating_sub(1);
+                for (budget, amount) in &drawn {
+                    self.credit(budget, me, *amount);
+                }
+                Store::Answered
+            }
+            Err(TableError::Refused(AccountError::Closed(_))) => {
+                self.board.oust();
+                self.undo(ask);
+                Store::Silent
+            }
+            Err(error @ TableError::Lost(_)) => {
+                self.count_failure(&error);
+                self.pending = Some(ask);
+                Store::Silent
+            }
+            Err(error) => {
+                self.count_failure(&error);
+                self.undo(ask);
+                Store::Silent
+            }
+        }
+    }
+
+    fn credit(&self, budget: &BudgetId, origin: Incarnation, amount: Tokens) {
+        if amount.is_zero() {
+            return;
+        }
+        let parts = Parts::single(origin, amount);
+        self.board.ledger.lock().credit(budget, &parts);
+        tracing::info!(%budget, tokens = %amount, "tokens drawn");
+    }
+
+    /// Takes back what an exchange that did not take effect wanted to give.
+    fn undo(&self, ask: Exchange) {
+        let mut ledger = self.board.ledger.lock();
+        for (budget, parts) in &ask.returns {
+            ledger.credit(budget, parts);
+        }
+    }
+
+    fn count_failure(&mut self, error: &TableError) {
+        self.unwell = WELL_AFTER;
+        self.board.metrics.store_failures.inc();
+        tracing::warn!(%error, "the table gave no answer");
+    }
+
+    /// Returns the budgets that need tokens cleared, with what waits for them.
+    fn wanting(&self) -> Vec<(BudgetId, Tokens)> {
+        let now = self.board.now();
+        let mut needs = self.board.needs.lock();
+        let ledger = self.board.ledger.lock();
+        let mut wanting = Vec::new();
+        for (budget, need) in needs.iter_mut() {
+            let waiting = need.waiting();
+            let cleared = ledger.purse(budget).map_or(Tokens::ZERO, |p| p.cleared());
+            let block = Tokens::new((need.demand.rate(now) * BLOCK_SECONDS) as u64);
+            let low = cleared < block && ledger.purse(budget).is_some_and(|p| !p.free().is_zero());
+            if waiting > cleared || low {
+                wanting.push((budget.clone(), waiting));
+            }
+        }
+        wanting
+    }
+
+    /// Serves one budget's need from peers and witnesses, and notes what was found.
+    async fn serve(&mut self, budget: &BudgetId, waiting: Tokens, round: u64, store: Store) {
+        let unspent = plan::unspent(&self.board.ledger.lock(), budget);
+        let missing = waiting.saturating_sub(unspent);
+        if !missing.is_zero() {
+            self.taking.take(&self.board, budget, missing).await;
+        }
+        let rate = self
+            .board
+            .needs
+            .lock()
+            .need(budget)
+            .demand
+            .rate(self.board.now());
+        let block = Tokens::new((rate * BLOCK_SECONDS) as u64).max(LEAST_BLOCK);
+        self.clearing.clear(budget, waiting.max(block)).await;
+        let ledger = self.board.ledger.lock();
+        let purse = ledger.purse(budget);
+        let cleared = purse.map_or(Tokens::ZERO, |purse| purse.cleared());
+        let free = purse.map_or(Tokens::ZERO, |purse| purse.free());
+        drop(ledger);
+        if cleared >= waiting {
+            return;
+        }
+        let enough = cleared.saturating_add(free) >= waiting;
+        let verdict = match store {
+            _ if enough => Verdict::Unwitnessed,
+            Store::Answered => Verdict::Empty,
+            Store::Silent => Verdict::Unreachable,
+        };
+        self.board.needs.lock().conclude(budget, round, verdict);
+    }
+}
--- /dev/null
+++ b/crates/router/src/front.rs
@@ -0,0 +1,78 @@
+//! What callers reach: chat completions, plain services and the list of models.
+
+mod answer;
+mod caller;
+mod chat;
+mod intake;
+mod relay;
+mod services;
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, body::Body, http::Request};
+use fescue_core::Refusal;
+use fescue_core::outcome::Reason;
+use fescue_platform::claims::Claims;
+use parking_lot::Mutex;
+use serde_json::json;
+
+use crate::allowance::Allowance;
+use crate::billing::Biller;
+use crate::blackboard::Board;
+use crate::upstream::Caller;
+use fescue_policy::retry::RetryBudget;
+
+/// What a request needs on its way.
+pub struct Front {
+    /// The shared tables.
+    pub board: Arc<Board>,
+    /// Where tokens come from.
+    pub allowance: Allowance,
+    /// Where bills go.
+    pub biller: Biller,
+    /// Where calls that may not be repeated are claimed.
+    pub claims: Claims,
+    /// How upstreams are called.
+    pub caller: Caller,
+    /// How many second tries are left.
+    pub retries: Mutex<RetryBudget>,
+    /// Wakes the membership controller when peers should hear something at once.
+    pub news: Arc<tokio::sync::Notify>,
+}
+
+/// Returns the routes for callers.
+pub fn router(front: Arc<Front>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat::complete))
+        .route("/v1/models", get(models))
+        .route("/services/{service}/{*path}", post(services::call))
+        .fallback(nowhere)
+        .with_state(front)
+}
+
+async fn models(State(front): State<Arc<Front>>, headers: HeaderMap) -> Response {
+    if let Err(refusal) = caller::team(&front.board, &headers) {
+        return answer::refuse(&front.board, None, refusal);
+    }
+    let book = front.board.book();
+    let upstreams = book.upstreams.values();
+    let mut models: Vec<_> = upstreams.flat_map(|u| u.models.iter()).collect();
+    models.sort();
+    models.dedup();
+    let data: Vec<_> = models
+        .iter()
+        .map(|model| json!({"id": model, "object": "model", "owned_by": "fescuedrift"}))
+        .collect();
+    Json(json!({"object": "list", "data": data})).into_response()
+}
+
+async fn nowhere(State(front): State<Arc<Front>>, request: Request<Body>) -> Response {
+    let message = format!("there is no {} {}", request.method(), request.uri().path());
+    let refusal = Refusal::not_run(Reason::NotFound, message);
+    answer::refuse(&front.board, None, refusal)
+}
--- /dev/null
+++ b/crates/router/src/front/answer.rs
@@ -0,0 +1,61 @@
+//! Refusals as callers see them: a status, a JSON body and whether the request ran.
+
+use axum::Json;
+use axum::http::{HeaderName, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use fescue_core::{Execution, Refusal, RequestId};
+use serde_json::{Value, json};
+
+use crate::blackboard::Board;
+
+/// The header that says whether a request ran.
+pub(super) const OUTCOME: HeaderName = HeaderName::from_static("x-fescue-outcome");
+
+/// The header with the request's id.
+pub(super) const REQUEST: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Answers with a refusal, and logs and counts it.
+pub(super) fn refuse(board: &Board, request: Option<&RequestId>, refusal: Refusal) -> Response {
+    board.metrics.count_refusal(refusal.reason);
+    tracing::info!(
+        target: "decision",
+        request = request.map(RequestId::as_str),
+        reason = refusal.reason.code(),
+        outcome = refusal.execution.as_str(),
+        message = refusal.message,
+        "refused"
+    );
+    let status = StatusCode::from_u16(refusal.reason.status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = (status, Json(body(request, &refusal))).into_response();
+    let headers = response.headers_mut();
+    if let Some(pause) = refusal.retry_after {
+        let seconds = pause.as_secs_f64().ceil().max(1.0) as u64;
+        headers.insert(header::RETRY_AFTER, seconds.into());
+    }
+    label(&mut response, request, refusal.execution);
+    response
+}
+
+/// Adds the headers that each answer to a request has.
+pub(super) fn label(response: &mut Response, request: Option<&RequestId>, execution: Execution) {
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(execution.as_str()));
+    let id = request.and_then(|id| HeaderValue::from_str(id.as_str()).ok());
+    if let Some(id) = id {
+        headers.insert(REQUEST, id);
+    }
+}
+
+/// Returns the body of a refusal.
+pub(super) fn body(request: Option<&RequestId>, refusal: &Refusal) -> Value {
+    json!({
+        "error": {
+            "code": refusal.reason.code(),
+            "message": refusal.message,
+            "type": "fescuedrift",
+        },
+        "outcome": refusal.execution,
+        "request_id": request,
+    })
+}
--- /dev/null
+++ b/crates/router/src/front/services.rs
@@ -0,0 +1,436 @@
+//! Calls to plain services, among them those that may not be repeated.
+//!
+//! Such a call is claimed in the table before it leaves. What each failure proves, and what the
+//! caller is told, is in [docs/design/calls.md](../../../../docs/design/calls.md).
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use fescue_core::outcome::Reason;
+use fescue_core::rules::Service;
+use fescue_core::{Execution, Refusal, RequestId, ServiceId, Tokens, hash};
+use fescue_platform::claims::{Answer, CallId, ClaimRow, Claimed};
+use fescue_policy::ledger::Reservation;
+use fescue_policy::retry::{self, Failure};
+
+use super::caller::Caller;
+use super::{Front, answer, intake};
+use crate::billing::Item;
+use crate::dispatch::{self, Job, Permit, Pool};
+use crate::upstream::{Call, collect};
+
+/// The most attempts at one call.
+const ATTEMPTS: u32 = 3;
+
+/// How long a background write of a claim waits before it is tried again.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// How often a claim of another router is looked at while its answer is awaited.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Serves a call to a plain service.
+pub(super) async fn call(
+    State(front): State<Arc<Front>>,
+    Path((service, path)): Path<(String, String)>,
+    request: Request<Body>,
+) -> Response {
+    let (parts, body) = request.into_parts();
+    let running = front.board.start_request();
+    let admitted = admit(&front, &service, &path, &parts.headers, body).await;
+    let work = match admitted {
+        Ok(work) => work,
+        Err((id, refusal)) => return answer::refuse(&front.board, id.as_ref(), *refusal),
+    };
+    let id = work.caller.request.clone();
+    // The call goes on when its caller leaves: what was claimed must get its outcome.
+    let done = tokio::spawn(async move {
+        let done = work.run().await;
+        drop(running);
+        done
+    });
+    let given_up = || Refusal::unknown(Reason::UpstreamFailed, "the call was given up");
+    match done.await.unwrap_or_else(|_| Err(given_up())) {
+        Ok(stored) => respond(&id, stored),
+        Err(refusal) => answer::refuse(&front.board, Some(&id), refusal),
+    }
+}
+
+async fn admit(
+    front: &Arc<Front>,
+    service: &str,
+    path: &str,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Work, (Option<RequestId>, Box<Refusal>)> {
+    let board = &front.board;
+    let caller = Caller::read(board, headers).map_err(|r| (None, Box::new(r)))?;
+    let id = caller.request.clone();
+    let refused = |refusal: Refusal| (Some(id.clone()), Box::new(refusal));
+    let unknown = || Refusal::not_run(Reason::NotFound, format!("there is no service {service}"));
+    let name: ServiceId = service.parse().map_err(|_| refused(unknown()))?;
+    let book = board.book();
+    let rule = book.services.get(&name).cloned();
+    let rule = rule.ok_or_else(|| refused(unknown()))?;
+    let body = intake::read(body, &board.settings.limits).await;
+    let body = body.map_err(refused)?;
+    let content = [format!("{name}/{path}\n").as_bytes(), &body].concat();
+    let fingerprint = hash::short(&content);
+    Ok(Work {
+        front: Arc::clone(front),
+        caller,
+        rule,
+        path: format!("/{path}"),
+        body,
+        fingerprint,
+    })
+}
+
+fn respond(id: &RequestId, stored: Answer) -> Response {
+    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let kind = HeaderValue::from_str(&stored.kind);
+    let kind = kind.unwrap_or(HeaderValue::from_static("application/octet-stream"));
+    let mut response = (status, stored.body).into_response();
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer::label(&mut response, Some(id), Execution::Ran);
+    response
+}
+
+/// One call on its way.
+struct Work {
+    front: Arc<Front>,
+    caller: Caller,
+    rule: Service,
+    path: String,
+    body: Bytes,
+    fingerprint: u64,
+}
+
+/// How the attempts at a call ended.
+enum Ending {
+    Answered(Answer),
+    /// Nothing was run, for certain.
+    NotRun(Refusal),
+    /// It may have run.
+    Unknown(Failure),
+}
+
+impl Work {
+    async fn run(self) -> Result<Answer, Refusal> {
+        let price = self.rule.price;
+        if self.rule.repeat {
+            self.check_id()?;
+            let reservation = self.reserve(price).await?;
+            return self.run_repeatable(reservation).await;
+        }
+        let deadline = tokio::time::Instant::now() + self.rule.timeout;
+        if let Some(before) = self.find(deadline).await? {
+            return self.answer_before(before, deadline).await;
+        }
+        let reservation = self.reserve(price).await?;
+        let claim = ClaimRow {
+            by: self.front.board.me.incarnation,
+            number: self.front.board.next_number(),
+            body: self.fingerprint,
+            answer: None,
+        };
+        match self.claim(&claim, deadline).await {
+            Ok(Claimed::Ours) => self.run_claimed(claim, reservation).await,
+            Ok(Claimed::Before(before)) => {
+                self.front.board.ledger.lock().release(reservation);
+                self.answer_before(before, deadline).await
+            }
+            Err(refusal) => {
+                self.front.board.ledger.lock().release(reservation);
+                Err(refusal)
+            }
+        }
+    }
+
+    async fn reserve(&self, price: Tokens) -> Result<Reservation, Refusal> {
+        self.front
+            .allowance
+            .reserve(&self.caller.budget, price)
+            .await
+    }
+
+    fn check_id(&self) -> Result<(), Refusal> {
+        let (team, id) = (&self.caller.team.name, &self.caller.request);
+        let before = self
+            .front
+            .board
+            .recent
+            .lock()
+            .note(team, id, self.fingerprint);
+        if before.is_some() {
+            return Err(self.reused());
+        }
+        Ok(())
+    }
+
+    fn reused(&self) -> Refusal {
+        let id = &self.caller.request;
+        let message = format!("request id {id} was used with another body");
+        Refusal::not_run(Reason::IdReused, message)
+    }
+
+    fn id(&self) -> CallId {
+        CallId {
+            service: self.rule.name.clone(),
+            team: self.caller.team.name.clone(),
+            request: self.caller.request.clone(),
+        }
+    }
+
+    /// Looks for an earlier claim, where the caller chose the id and there may be one.
+    async fn find(&self, deadline: tokio::time::Instant) -> Result<Option<ClaimRow>, Refusal> {
+        if !self.caller.keyed {
+            return Ok(None);
+        }
+        loop {
+            match self.front.claims.find(&self.id()).await {
+                Ok(found) => return Ok(found),
+                Err(error) => self.wait_for_store(deadline, &error).await?,
+            }
+        }
+    }
+
+    /// Claims the call, waiting for the store until the deadline.
+    async fn claim(
+        &self,
+        claim: &ClaimRow,
+        deadline: tokio::time::Instant,
+    ) -> Result<Claimed, Refusal> {
+        loop {
+            match self.front.claims.claim(&self.id(), claim).await {
+                Ok(claimed) => return Ok(claimed),
+                Err(error) => {
+                    let waited = self.wait_for_store(deadline, &error).await;
+                    if waited.is_err() {
+                        // The claim may be in the table; it must not bar a later try for good.
+                        self.withdraw(claim.clone());
+                    }
+                    waited?;
+                }
+            }
+        }
+    }
+
+    async fn wait_for_store(
+        &self,
+        deadline: tokio::time::Instant,
+        error: &fescue_platform::TableError,
+    ) -> Result<(), Refusal> {
+        self.front.board.metrics.store_failures.inc();
+        if tokio::time::Instant::now() + AGAIN < deadline {
+            tokio::time::sleep(AGAIN).await;
+            return Ok(());
+        }
+        tracing::warn!(request = %self.caller.request, %error, "the call can't be claimed");
+        // This attempt sent nothing, but only an id that the router made is sure to have no other.
+        if self.caller.keyed {
+            let message = "this attempt was not sent, but an earlier one may have run";
+            return Err(Refusal::unknown(Reason::StoreDown, message).after(AGAIN * 10));
+        }
+        let message = "the call can't be claimed now and was not sent";
+        Err(Refusal::not_run(Reason::StoreDown, message).after(AGAIN * 10))
+    }
+
+    /// Answers from an earlier claim; the call is never made again.
+    async fn answer_before(
+        &self,
+        before: ClaimRow,
+        deadline: tokio::time::Instant,
+    ) -> Result<Answer, Refusal> {
+        if before.body != self.fingerprint {
+            return Err(self.reused());
+        }
+        let mut last = before;
+        loop {
+            if let Some(answer) = last.answer {
+                return Ok(answer);
+            }
+            let board = &self.front.board;
+            let alive = board.members.lock().incarnations();
+            let running = last.by == board.me.incarnation || alive.contains(&last.by);
+            if !running || tokio::time::Instant::now() + LOOK >= deadline {
+                let message = "an earlier attempt may have run; its outcome isn't known";
+                return Err(Refusal::unknown(Reason::MayHaveRun, message));
+            }
+            tokio::time::sleep(LOOK).await;
+            match self.front.claims.find(&self.id()).await {
+                Ok(Some(row)) => last = row,
+                Ok(None) => {
+                    let message = "the earlier attempt was withdrawn and did not run";
+                    let refusal = Refusal::not_run(Reason::NoUpstream, message);
+                    return Err(refusal.after(Duration::from_secs(1)));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    async fn run_claimed(
+        &self,
+        claim: ClaimRow,
+        reservation: Reservation,
+    ) -> Result<Answer, Refusal> {
+        match self.attempts(false).await {
+            Ending::Answered(answer) => {
+                self.bill(reservation).await;
+                self.store_answer(claim, answer.clone()).await;
+                Ok(answer)
+            }
+            Ending::NotRun(refusal) => {
+                self.front.board.ledger.lock().release(reservation);
+                self.withdraw(claim);
+                Err(refusal)
+            }
+            Ending::Unknown(failure) => {
+                // It may have run, so it is billed once; a repeat finds the claim and is not.
+                self.bill(reservation).await;
+                Err(unknown(failure))
+            }
+        }
+    }
+
+    async fn run_repeatable(&self, reservation: Reservation) -> Result<Answer, Refusal> {
+        match self.attempts(true).await {
+            Ending::Answered(answer) => {
+                self.bill(reservation).await;
+                Ok(answer)
+            }
+            Ending::NotRun(refusal) => {
+                self.front.board.ledger.lock().release(reservation);
+                Err(refusal)
+            }
+            Ending::Unknown(failure) => {
+                self.front.board.ledger.lock().release(reservation);
+                Err(unknown(failure))
+            }
+        }
+    }
+
+    async fn attempts(&self, repeat: bool) -> Ending {
+        self.front.retries.lock().earn();
+        let mut avoid = Vec::new();
+        let mut attempt = 1;
+        loop {
+            let mut permit = match self.place(&avoid).await {
+                Ok(permit) => permit,
+                Err(refusal) => return Ending::NotRun(refusal),
+            };
+            let failure = match self.attempt(&permit, attempt).await {
+                Ok(answer) => {
+                    permit.judge(true);
+                    return Ending::Answered(answer);
+                }
+                Err(failure) => failure,
+            };
+            permit.judge(false);
+            tracing::warn!(target: "decision", request = %self.caller.request, upstream = %permit.upstream.name, ?failure, attempt, "an attempt failed");
+            avoid.push(permit.upstream.name.clone());
+            drop(permit);
+            attempt += 1;
+            let again = retry::may_retry(failure, repeat, false) && attempt <= ATTEMPTS;
+            if again && self.front.retries.lock().spend() {
+                continue;
+            }
+            if failure.proves_not_run() {
+                let message = "no upstream took the call";
+                return Ending::NotRun(Refusal::not_run(Reason::NoUpstream, message));
+            }
+            return Ending::Unknown(failure);
+        }
+    }
+
+    async fn place(&self, avoid: &[fescue_core::UpstreamId]) -> Result<Permit, Refusal> {
+        let job = Job {
+            request: self.caller.request.clone(),
+            team: self.caller.team.name.clone(),
+            weight: self.caller.team.weight,
+            priority: self.caller.priority,
+            cost: self.rule.price,
+            prompt: 0,
+            prefix: 0,
+            avoid: avoid.to_vec(),
+            confine: None,
+            patience: Some(self.rule.timeout),
+        };
+        let pool = Pool::Service(self.rule.name.clone());
+        dispatch::acquire(&self.front.board, &pool, job).await
+    }
+
+    async fn attempt(&self, permit: &Permit, attempt: u32) -> Result<Answer, Failure> {
+        let board = &self.front.board;
+        let call = Call {
+            address: permit.upstream.address,
+            path: &self.path,
+            request: &self.caller.request,
+            attempt,
+            priority: self.caller.priority,
+            vm: &board.me.vm,
+            fence: board.fence(),
+            resume: 0,
+            body: self.body.clone(),
+            timeout: self.rule.timeout,
+        };
+        let reply = self.front.caller.call(&call).await?;
+        let status = reply.status().as_u16();
+        let kind = reply.headers().get(header::CONTENT_TYPE);
+        let kind = kind.and_then(|k| k.to_str().ok()).unwrap_or_default();
+        let kind = kind.to_owned();
+        let read = tokio::time::timeout(self.rule.timeout, collect(reply)).await;
+        let body = read.map_err(|_| Failure::TimedOut)??;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        Ok(Answer { status, kind, body })
+    }
+
+    async fn bill(&self, reservation: Reservation) {
+        let item = Item {
+            budget: self.caller.budget.clone(),
+            request: self.caller.request.clone(),
+            body: self.fingerprint,
+        };
+        let biller = &self.front.biller;
+        biller.bill(reservation, item, self.rule.price).await;
+    }
+
+    /// Stores the answer for repeats; while the store is away this goes on in the background.
+    async fn store_answer(&self, claim: ClaimRow, answer: Answer) {
+        let (claims, id) = (self.front.claims.clone(), self.id());
+        if claims.answer(&id, &claim, answer.clone()).await.is_ok() {
+            return;
+        }
+        let running = self.front.board.start_request();
+        tokio::spawn(async move {
+            while claims.answer(&id, &claim, answer.clone()).await.is_err() {
+                tokio::time::sleep(AGAIN).await;
+            }
+            drop(running);
+        });
+    }
+
+    /// Withdraws the claim of a call that was not sent, in the background.
+    fn withdraw(&self, claim: ClaimRow) {
+        let (claims, id) = (self.front.claims.clone(), self.id());
+        let running = self.front.board.start_request();
+        tokio::spawn(async move {
+            while claims.withdraw(&id, &claim).await.is_err() {
+                tokio::time::sleep(AGAIN).await;
+            }
+            drop(running);
+        });
+    }
+}
+
+fn unknown(failure: Failure) -> Refusal {
+    match failure {
+        Failure::TimedOut => Refusal::unknown(Reason::Deadline, "no answer came in time"),
+        _ => Refusal::unknown(Reason::UpstreamFailed, "the answer was lost"),
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,28 @@
+//! One router of the fleet.
+//!
+//! A request goes one way: [`front`] reads it, [`allowance`] sets its tokens aside, [`dispatch`]
+//! queues and places it, [`upstream`] makes the call, [`billing`] bills it and [`copies`] has peers
+//! keep the bill before the caller gets the end of the answer. The controllers, among them
+//! [`membership`], [`config`] and [`closing`], read and write the [`blackboard`] and never call
+//! each other.
+
+pub mod admin;
+pub mod allowance;
+pub mod billing;
+pub mod blackboard;
+pub mod closing;
+pub mod config;
+pub mod copies;
+pub mod dispatch;
+pub mod drain;
+pub mod front;
+pub mod lifecycle;
+pub mod link;
+pub mod lock;
+pub mod logs;
+pub mod membership;
+pub mod metrics;
+pub mod router;
+pub mod secrets;
+pub mod serve;
+pub mod upstream;
--- /dev/null
+++ b/crates/router/src/link.rs
@@ -0,0 +1,137 @@
+//! What other routers may ask of this one.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use fescue_core::{Incarnation, Tokens};
+use fescue_peer::{Copies, Greeting, Link, PeerError, Take};
+use fescue_policy::ledger::Parts;
+use fescue_policy::witness::{Noted, Notes, Report};
+
+use crate::allowance::Clearing;
+use crate::blackboard::Board;
+
+/// The last tokens that one peer was given of one budget.
+#[derive(Clone, Debug)]
+pub struct Given {
+    number: u64,
+    parts: Parts,
+}
+
+/// Answers other routers.
+pub struct Answers {
+    board: Arc<Board>,
+    clearing: Clearing,
+}
+
+impl Answers {
+    /// Opens the answers of this router.
+    pub fn open(board: Arc<Board>, clearing: Clearing) -> Self {
+        Self { board, clearing }
+    }
+
+    /// Returns what was given under this number before; a late one gets nothing.
+    fn given_before(&self, take: &Take) -> Option<Parts> {
+        let given = self.board.given.lock();
+        let last = given.get(&(take.from, take.budget.clone()))?;
+        match last.number.cmp(&take.number) {
+            std::cmp::Ordering::Less => None,
+            std::cmp::Ordering::Equal => Some(last.parts.clone()),
+            std::cmp::Ordering::Greater => Some(Parts::default()),
+        }
+    }
+
+    /// Returns how much may be handed over without leaving own requests short.
+    ///
+    /// Of two routers that need the same budget only the one with the lower incarnation is given
+    /// to, or both would hand over what they have and both would still be short.
+    fn spare(&self, take: &Take) -> Tokens {
+        let mut needs = self.board.needs.lock();
+        let need = needs.need(&take.budget);
+        let waiting = need.waiting();
+        let idle = need.demand.is_idle(self.board.now());
+        let ledger = self.board.ledger.lock();
+        let unspent = ledger
+            .purse(&take.budget)
+            .map_or(Tokens::ZERO, |p| p.unspent());
+        if !waiting.is_zero() && take.from > self.board.me.incarnation {
+            return Tokens::ZERO;
+        }
+        let scarce = unspent <= take.want;
+        let share = if idle || scarce { 1.0 } else { 0.5 };
+        unspent.scale(share).min(take.want)
+    }
+}
+
+#[async_trait]
+impl Link for Answers {
+    async fn beat(&self, greeting: Greeting) -> Result<Greeting, PeerError> {
+        crate::membership::hear(&self.board, &greeting);
+        Ok(crate::membership::greeting(&self.board))
+    }
+
+    async fn take(&self, take: Take) -> Result<Parts, PeerError> {
+        if let Some(parts) = self.given_before(&take) {
+            return Ok(parts);
+        }
+        let spare = self.spare(&take);
+        let cleared = {
+            let ledger = self.board.ledger.lock();
+            let purse = ledger.purse(&take.budget);
+            purse.map_or(Tokens::ZERO, |purse| purse.cleared())
+        };
+        let more = spare.saturating_sub(cleared);
+        if !more.is_zero() {
+            // What is handed over counts as spent here, so it is noted first.
+            self.clearing.clear(&take.budget, more).await;
+        }
+        let mut ledger = self.board.ledger.lock();
+        let mut given = self.board.given.lock();
+        let key = (take.from, take.budget.clone());
+        if let Some(last) = given.get(&key).filter(|last| last.number >= take.number) {
+            let same = last.number == take.number;
+            return Ok(if same {
+                last.parts.clone()
+            } else {
+                Parts::default()
+            });
+        }
+        let parts = ledger.give(&take.budget, spare);
+        let number = take.number;
+        tracing::info!(budget = %take.budget, to = %take.from, tokens = %parts.total(), "tokens handed to a peer");
+        let answer = parts.clone();
+        given.insert(key, Given { number, parts });
+        Ok(answer)
+    }
+
+    async fn note(&self, from: Incarnation, notes: Notes, whole: bool) -> Result<Noted, PeerError> {
+        Ok(self.board.notebook.lock().note(from, &notes, whole))
+    }
+
+    async fn refuse(&self, owner: Incarnation) -> Result<(Incarnation, Report), PeerError> {
+        let report = self.board.notebook.lock().refuse(owner);
+        Ok((self.board.me.incarnation, report))
+    }
+
+    async fn keep(&self, owner: Incarnation, copies: Copies) -> Result<(), PeerError> {
+        let mut kept = self.board.kept.lock();
+        let bills = kept.entry(owner).or_default();
+        for bill in copies.bills {
+            bills.insert(bill.id.number, bill);
+        }
+        for number in copies.stored {
+            bills.swap_remove(&number);
+        }
+        if bills.is_empty() {
+            kept.swap_remove(&owner);
+        }
+        Ok(())
+    }
+
+    async fn changes(&self, after: u64) -> Result<Vec<Vec<u8>>, PeerError> {
+        let changes = self.board.rules.lock().since(after);
+        let encoded = changes.iter().map(serde_json::to_vec);
+        let encoded = encoded.collect::<Result<_, _>>();
+        encoded.map_err(|e| PeerError::Malformed(e.to_string()))
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,2 +1,64 @@
-//! Placeholder.
-fn main() {}
+//! The router's program: reads settings, runs one router until it is told to stop.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use fescue_core::settings::Settings;
+use fescue_router::router::{Ended, Router};
+use fescue_router::{logs, secrets::Secrets};
+use miette::{IntoDiagnostic, WrapErr};
+
+/// Routes language model and service calls against prepaid token budgets.
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} --settings router.json",
+    example = "{command_name} --settings router.json --check",
+    note = "SIGTERM and SIGINT stop the router once its open requests have ended.",
+    error_code(1, "the settings can't be used, or an address can't be bound"),
+    error_code(3, "the router's allowances were closed by its peers; start it again")
+)]
+struct Args {
+    /// the settings, a JSON file
+    #[argh(option)]
+    settings: Option<std::path::PathBuf>,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+/// The exit code of a router whose allowances were closed.
+const CLOSED: u8 = 3;
+
+fn main() -> miette::Result<ExitCode> {
+    let args: Args = argh::from_env();
+    if args.version {
+        println!("fescuedrift {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let Some(path) = args.settings else {
+        miette::bail!("expected --settings FILE; see --help");
+    };
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(&path).into_diagnostic();
+    let text = text.wrap_err_with(|| format!("{name} can't be read"))?;
+    let settings = Settings::parse(&name, &text).map_err(|report| miette::Report::new(*report))?;
+    let secrets = Secrets::read(&settings)?;
+    if args.check {
+        println!("{name} is fine");
+        return Ok(ExitCode::SUCCESS);
+    }
+    logs::open(&settings.log)?;
+    run(settings, secrets)
+}
+
+#[tokio::main]
+async fn run(settings: Settings, secrets: Secrets) -> miette::Result<ExitCode> {
+    let router = Router::spawn(settings, secrets).await?;
+    Ok(match router.run_until_stopped().await {
+        Ended::Stopped => ExitCode::SUCCESS,
+        Ended::Closed => ExitCode::from(CLOSED),
+    })
+}
