Prove the money through failures, by told and generated stories

Cause: the heart had no proof; the lock order check found at once that a greeting took a lower lock while it held a higher one, so that routers in debug builds never met. Change: a fleet of real controllers over a table in memory, with faults at the table and the peers and a paused clock; thirteen told stories; a generator of any failures in any order that checks, after each step, credited = free + settled + drawn - returned and that no line can be billed beyond what it has. A peer now hands over all that a waiting request lacks: keeping half back refused a covered request in the story of the long cut. A panic stops the process.

--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -41,15 +41,15 @@
         }
     }
 
-    /// Returns how much may be handed over without leaving own requests short.
+    /// Returns how much may be handed over.
     ///
-    /// Of two routers that need the same budget only the one with the lower incarnation is given
+    /// A peer asks only for what its waiting requests lack, so it gets all of that: keeping half
+    /// back refused a request that the fleet could pay for. Of two routers that need the same budget only the one with the lower incarnation is given
     /// to, or both would hand over what they have and both would still be short.
     fn spare(&self, take: &Take) -> Tokens {
         let mut needs = self.board.needs.lock();
         let need = needs.need(&take.budget);
         let waiting = need.waiting();
-        let idle = need.demand.is_idle(self.board.now());
         let ledger = self.board.ledger.lock();
         let unspent = ledger
             .purse(&take.budget)
@@ -57,9 +57,7 @@
         if !waiting.is_zero() && take.from > self.board.me.incarnation {
             return Tokens::ZERO;
         }
-        let scarce = unspent <= take.want;
-        let share = if idle || scarce { 1.0 } else { 0.5 };
-        unspent.scale(share).min(take.want)
+        unspent.min(take.want)
     }
 }
 
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -51,9 +51,20 @@
         return Ok(ExitCode::SUCCESS);
     }
     logs::open(&settings.log)?;
+    stop_on_panic();
     run(settings, secrets)
 }
 
+/// Has a broken invariant stop the process, not just the task that met it: its peers then close
+/// its allowances, and nothing goes on from a state that can't be trusted.
+fn stop_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
+
 #[tokio::main]
 async fn run(settings: Settings, secrets: Secrets) -> miette::Result<ExitCode> {
     let router = Router::spawn(settings, secrets).await?;
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -138,16 +138,21 @@
 
 /// Returns what this router says of itself.
 pub fn greeting(board: &Board) -> Greeting {
+    // Each lock is let go before the next is taken.
+    let leaving = board.phase() == crate::lifecycle::Phase::Draining;
+    let rules = board.rules.lock().version();
     let suspects = board.suspects.lock().iter().collect();
+    let leaving_upstreams = board.leaving_upstreams();
+    let closed = board.closed.lock().iter().copied().collect();
     Greeting {
         incarnation: board.me.incarnation,
         vm: board.me.vm.clone(),
         data_centre: board.me.data_centre.clone(),
-        rules: board.rules.lock().version(),
-        leaving: board.phase() == crate::lifecycle::Phase::Draining,
-        leaving_upstreams: board.leaving_upstreams(),
+        rules,
+        leaving,
+        leaving_upstreams,
         suspects,
-        closed: board.closed.lock().iter().copied().collect(),
+        closed,
     }
 }
 
--- /dev/null
+++ b/crates/router/tests/suite/fleet/node.rs
@@ -0,0 +1,145 @@
+//! One router of the fleet: its real controllers, stepped by hand.
+
+use std::future::{Future, poll_fn};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::task::Poll;
+
+use fescue_core::settings::Settings;
+use fescue_core::{Incarnation, Refusal, Tokens};
+use fescue_peer::Link;
+use fescue_platform::Table;
+use fescue_platform::accounts::Accounts;
+use fescue_platform::billing::Billing;
+use fescue_platform::config::Config;
+use fescue_policy::ledger::Reservation;
+use fescue_router::allowance::{Allowance, Clearing, Rounds};
+use fescue_router::billing::{Biller, Item};
+use fescue_router::blackboard::{Board, Member};
+use fescue_router::closing::Closer;
+use fescue_router::config::Controller;
+use fescue_router::copies::Copying;
+use fescue_router::link::Answers;
+use tokio::task::AbortHandle;
+
+use super::budget;
+
+/// One router.
+pub struct Node {
+    pub board: Arc<Board>,
+    pub rounds: Rounds,
+    pub biller: Biller,
+    pub closer: Closer,
+    pub config: Controller,
+    pub answers: Arc<dyn Link>,
+    allowance: Allowance,
+    copying: AbortHandle,
+}
+
+fn settings(index: usize, data_centre: &str) -> Settings {
+    let text = format!(
+        r#"{{
+            "vm": "vm-{index}",
+            "data_centre": "{data_centre}",
+            "listen": {{"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"}},
+            "platform": {{"address": "127.0.0.1:4"}},
+            "operator_token_file": "none",
+            "peer_token_file": "none"
+        }}"#
+    );
+    Settings::parse("settings", &text).expect("the settings parse")
+}
+
+impl Node {
+    pub fn open(
+        index: usize,
+        data_centre: &str,
+        incarnation: Incarnation,
+        table: Arc<dyn Table>,
+    ) -> Self {
+        let board = Board::open(settings(index, data_centre), incarnation);
+        let accounts = Accounts::open(Arc::clone(&table));
+        let billing = Arc::new(Billing::open(Arc::clone(&table)));
+        let clearing = Clearing::open(Arc::clone(&board), accounts.clone());
+        let rounds = Rounds::open(Arc::clone(&board), accounts.clone(), clearing.clone());
+        let copying = Copying::open(Arc::clone(&board));
+        let biller = Biller::open(Arc::clone(&board), Arc::clone(&billing), copying.clone());
+        let task = tokio::spawn(async move { copying.run().await });
+        Self {
+            allowance: Allowance::open(Arc::clone(&board), rounds.follow()),
+            closer: Closer::open(Arc::clone(&board), accounts, billing),
+            config: Controller::open(Arc::clone(&board), Config::open(table)),
+            answers: Arc::new(Answers::open(Arc::clone(&board), clearing)),
+            copying: task.abort_handle(),
+            rounds,
+            biller,
+            board,
+        }
+    }
+
+    pub fn stop_tasks(&self) {
+        self.copying.abort();
+    }
+
+    /// Takes another router among those it knows of.
+    pub fn know(&self, other: &Self, link: Arc<dyn Link>) {
+        let mut members = self.board.members.lock();
+        let me = &other.board.me;
+        let known = members.get_mut(&me.vm);
+        let known = known.and_then(|m| Some((m.incarnation?, m.heard)));
+        let same = known.filter(|(incarnation, _)| *incarnation == me.incarnation);
+        members.insert(Member {
+            vm: me.vm.clone(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 2)),
+            data_centre: me.data_centre.clone(),
+            link,
+            incarnation: Some(me.incarnation),
+            heard: same.and_then(|(_, heard)| heard),
+            leaving: false,
+        });
+    }
+
+    pub fn advance(&self) {
+        let silence = self.board.settings.pace.silence;
+        self.board.members.lock().advance(self.board.now(), silence);
+    }
+
+    /// Sets the bound of a request aside, with one round of the controller if need be.
+    pub async fn reserve(&mut self, bound: u64) -> Result<Reservation, Refusal> {
+        let id = budget();
+        let reserved = self.allowance.reserve(&id, Tokens::new(bound));
+        let mut reserved = std::pin::pin!(reserved);
+        // The need is on the blackboard once the reservation was polled.
+        let polled = poll_fn(|context| Poll::Ready(reserved.as_mut().poll(context)));
+        if let Poll::Ready(done) = polled.await {
+            return done;
+        }
+        self.rounds.round().await;
+        reserved.await
+    }
+
+    /// Ends a request: its bill is made and kept before this returns.
+    pub async fn finish(&self, reservation: Reservation, request: &str, used: u64) {
+        let item = Item {
+            budget: budget(),
+            request: request.parse().expect("a request id"),
+            body: 7,
+        };
+        self.biller.bill(reservation, item, Tokens::new(used)).await;
+    }
+
+    /// Returns what the table may have charged to a line for bills of this router whose storing
+    /// it doesn't know of yet.
+    pub fn stored_but_unconfirmed(&self, origin: Incarnation) -> Tokens {
+        let outbox = self.board.outbox.lock();
+        let parts = outbox.values().flat_map(|bill| bill.charges.iter());
+        let charged = parts.filter(|part| part.origin == origin);
+        charged.map(|part| part.amount).sum()
+    }
+
+    pub fn unspent(&self) -> u64 {
+        let ledger = self.board.ledger.lock();
+        let purse = ledger.purse(&budget());
+        purse.map_or(0, |purse| purse.unspent().get())
+    }
+}
--- /dev/null
+++ b/crates/router/tests/suite/fleet/wire.rs
@@ -0,0 +1,185 @@
+//! The two interfaces at which things fail: the table and the peers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use fescue_core::Incarnation;
+use fescue_peer::{Copies, Greeting, Link, PeerError, Take};
+use fescue_platform::{Commit, Row, Table, TableError, Transaction};
+use fescue_policy::ledger::Parts;
+use fescue_policy::witness::{Noted, Notes, Report};
+use fescue_standin::platform::Memory;
+use parking_lot::Mutex;
+
+/// What is cut, and which answers get lost.
+#[derive(Default)]
+pub struct Faults {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    links: BTreeSet<(usize, usize)>,
+    stores: BTreeSet<usize>,
+    silent: BTreeSet<usize>,
+    lose_peer_answers: u32,
+}
+
+impl Faults {
+    /// Cuts two routers off each other.
+    pub fn cut(&self, a: usize, b: usize) {
+        self.state.lock().links.extend([(a, b), (b, a)]);
+    }
+
+    /// Cuts a router off the table.
+    pub fn cut_store(&self, node: usize) {
+        self.state.lock().stores.insert(node);
+    }
+
+    /// Joins a router and the table again.
+    pub fn join_store(&self, node: usize) {
+        self.state.lock().stores.remove(&node);
+    }
+
+    /// Has a router answer no peer, as when it is frozen.
+    pub fn silence(&self, node: usize) {
+        self.state.lock().silent.insert(node);
+    }
+
+    /// Has a router answer again.
+    pub fn unsilence(&self, node: usize) {
+        self.state.lock().silent.remove(&node);
+    }
+
+    /// Loses the next answers of peers, after they took effect.
+    pub fn lose_peer_answers(&self, count: u32) {
+        self.state.lock().lose_peer_answers = count;
+    }
+
+    /// Ends all faults.
+    pub fn clear(&self) {
+        *self.state.lock() = State::default();
+    }
+
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
+        let state = self.state.lock();
+        let silent = state.silent.contains(&a) || state.silent.contains(&b);
+        silent || state.links.contains(&(a, b))
+    }
+
+    fn loses_peer_answer(&self) -> bool {
+        let mut state = self.state.lock();
+        let loses = state.lose_peer_answers > 0;
+        state.lose_peer_answers = state.lose_peer_answers.saturating_sub(1);
+        loses
+    }
+}
+
+/// One router's way to the table.
+pub struct Port {
+    memory: Arc<Memory>,
+    faults: Arc<Faults>,
+    node: usize,
+}
+
+impl Port {
+    pub fn open(memory: Arc<Memory>, faults: Arc<Faults>, node: usize) -> Self {
+        Self {
+            memory,
+            faults,
+            node,
+        }
+    }
+
+    fn pass(&self) -> Result<(), TableError> {
+        if self.faults.state.lock().stores.contains(&self.node) {
+            return Err(TableError::Unavailable("cut off".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Table for Port {
+    async fn read(&self, keys: &[String]) -> Result<Vec<Row>, TableError> {
+        self.pass()?;
+        self.memory.read(keys).await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, TableError> {
+        self.pass()?;
+        self.memory.scan(prefix, after, limit).await
+    }
+
+    async fn transact(&self, transaction: &Transaction) -> Result<Commit, TableError> {
+        self.pass()?;
+        self.memory.transact(transaction).await
+    }
+}
+
+/// One router's way to another.
+pub struct Wire {
+    faults: Arc<Faults>,
+    from: usize,
+    to: usize,
+    link: Arc<dyn Link>,
+}
+
+impl Wire {
+    pub fn open(faults: Arc<Faults>, from: usize, to: usize, link: Arc<dyn Link>) -> Self {
+        Self {
+            faults,
+            from,
+            to,
+            link,
+        }
+    }
+
+    fn pass(&self) -> Result<(), PeerError> {
+        if self.faults.is_cut(self.from, self.to) {
+            return Err(PeerError::Unreachable("cut off".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn answer<T>(&self, answer: Result<T, PeerError>) -> Result<T, PeerError> {
+        if self.faults.loses_peer_answer() {
+            return Err(PeerError::Lost("told to lose it".to_owned()));
+        }
+        answer
+    }
+}
+
+#[async_trait]
+impl Link for Wire {
+    async fn beat(&self, greeting: Greeting) -> Result<Greeting, PeerError> {
+        self.pass()?;
+        self.answer(self.link.beat(greeting).await)
+    }
+
+    async fn take(&self, take: Take) -> Result<Parts, PeerError> {
+        self.pass()?;
+        self.answer(self.link.take(take).await)
+    }
+
+    async fn note(&self, from: Incarnation, notes: Notes, whole: bool) -> Result<Noted, PeerError> {
+        self.pass()?;
+        self.answer(self.link.note(from, notes, whole).await)
+    }
+
+    async fn refuse(&self, owner: Incarnation) -> Result<(Incarnation, Report), PeerError> {
+        self.pass()?;
+        self.answer(self.link.refuse(owner).await)
+    }
+
+    async fn keep(&self, owner: Incarnation, copies: Copies) -> Result<(), PeerError> {
+        self.pass()?;
+        self.answer(self.link.keep(owner, copies).await)
+    }
+
+    async fn changes(&self, after: u64) -> Result<Vec<Vec<u8>>, PeerError> {
+        self.pass()?;
+        self.answer(self.link.changes(after).await)
+    }
+}
--- /dev/null
+++ b/crates/router/tests/suite/money_stories.rs
@@ -0,0 +1,315 @@
+//! Told stories of money, one for each failure that the brief names.
+
+use fescue_core::Execution;
+use fescue_core::outcome::Reason;
+
+use crate::fleet::Fleet;
+
+/// A router is cut off the table for long while its team is topped up on the other side.
+#[tokio::test(start_paused = true)]
+async fn cut_from_store_spends_what_it_holds_and_takes_from_peers() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    let held = fleet.node(0).reserve(400).await.expect("it is covered");
+    fleet.node(0).finish(held, "r-1", 300).await;
+    let other = fleet.node(1).reserve(300).await.expect("it is covered");
+    fleet.node(1).finish(other, "r-2", 50).await;
+    fleet.faults.cut_store(0);
+    fleet.top_up("second", 5000).await.expect("the store is up");
+    // It holds 100 of its own; the rest comes from the peer.
+    let more = fleet.node(0).reserve(300).await.expect("a peer hands over");
+    fleet.node(0).finish(more, "r-3", 300).await;
+    fleet.check().await;
+    fleet.heal().await;
+    let late = fleet
+        .node(0)
+        .reserve(4000)
+        .await
+        .expect("the top-up is seen");
+    fleet.node(0).finish(late, "r-4", 4000).await;
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(
+        fleet.bills().await.values().sum::<u64>(),
+        300 + 50 + 300 + 4000
+    );
+}
+
+/// The store is down for all: work goes on from allowances, and no bill is lost.
+#[tokio::test(start_paused = true)]
+async fn store_down_for_all_goes_on_and_bills_later() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2"]).await;
+    fleet
+        .top_up("first", 100_000)
+        .await
+        .expect("the store is up");
+    for index in 0..3 {
+        let warm = fleet
+            .node(index)
+            .reserve(2000)
+            .await
+            .expect("it is covered");
+        fleet
+            .node(index)
+            .finish(warm, &format!("warm-{index}"), 2000)
+            .await;
+        fleet.node(index).rounds.round().await;
+    }
+    fleet.set_outage(true);
+    let mut served = 0;
+    for index in 0..9 {
+        let node = fleet.node(index % 3);
+        let reservation = node.reserve(200).await.expect("it holds enough");
+        node.finish(reservation, &format!("r-{index}"), 200).await;
+        served += 200;
+        fleet.pass(1).await;
+    }
+    fleet.set_outage(false);
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.values().sum::<u64>(), 6000 + served);
+}
+
+/// Without the store and without anything held, a refusal says that it is the store.
+#[tokio::test(start_paused = true)]
+async fn store_down_with_nothing_held_refuses_truthfully() {
+    let mut fleet = Fleet::start(&["dakar-1"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    fleet.set_outage(true);
+    let refusal = fleet
+        .node(0)
+        .reserve(10)
+        .await
+        .expect_err("nothing is held");
+    assert_eq!(refusal.reason, Reason::StoreDown);
+    assert_eq!(refusal.execution, Execution::NotRun);
+}
+
+/// An empty budget is refused as such, and a top-up ends that at once.
+#[tokio::test(start_paused = true)]
+async fn empty_budget_refuses_until_topped_up() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2"]).await;
+    fleet.top_up("first", 100).await.expect("the store is up");
+    let refusal = fleet
+        .node(0)
+        .reserve(101)
+        .await
+        .expect_err("it isn't covered");
+    assert_eq!(refusal.reason, Reason::Budget);
+    fleet.top_up("second", 1).await.expect("the store is up");
+    let covered = fleet.node(1).reserve(101).await;
+    let covered = covered.expect("what the refused request drew comes over");
+    assert_eq!(covered.bound().get(), 101);
+}
+
+/// Every write loses its answer; nothing is drawn, billed, credited or closed twice.
+#[tokio::test(start_paused = true)]
+async fn lost_answers_change_nothing() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2"]).await;
+    fleet.lose_store_answers(1);
+    fleet.top_up("first", 1000).await.expect("it is found done");
+    fleet.lose_store_answers(1);
+    let held = fleet
+        .node(0)
+        .reserve(100)
+        .await
+        .expect("the draw is found done");
+    fleet.check().await;
+    fleet.node(0).finish(held, "r-1", 100).await;
+    fleet.lose_store_answers(3);
+    assert!(
+        fleet.node(0).biller.flush().await,
+        "the bills are found stored"
+    );
+    fleet.check().await;
+    fleet.kill(0);
+    fleet.pass(1).await;
+    fleet.lose_store_answers(1);
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.len(), 1);
+}
+
+/// Writes that were given up arrive later; those that were repeated meanwhile change nothing.
+#[tokio::test(start_paused = true)]
+async fn late_writes_change_nothing() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    fleet.delay_store_writes(1);
+    let held = fleet.node(0).reserve(100).await.expect("it is repeated");
+    assert_eq!(fleet.memory.let_late_in(), 0, "the first try is too late");
+    fleet.node(0).finish(held, "r-1", 100).await;
+    fleet.delay_store_writes(1);
+    fleet.node(0).biller.flush().await;
+    assert_eq!(fleet.memory.let_late_in(), 0, "the first try is too late");
+    fleet.heal().await;
+    fleet.check().await;
+}
+
+/// A router dies after the last byte and before its flush: the peers' copies bill the request.
+#[tokio::test(start_paused = true)]
+async fn killed_before_flush_is_billed_from_copies() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    let held = fleet.node(0).reserve(100).await.expect("it is covered");
+    fleet.node(0).finish(held, "r-1", 60).await;
+    fleet.kill(0);
+    assert!(fleet.bills().await.is_empty(), "nothing was stored");
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&60));
+}
+
+/// A router dies mid-stream and the caller sends the request again, twice at the same time.
+#[tokio::test(start_paused = true)]
+async fn retried_on_two_routers_is_billed_once() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    let _cut_off = fleet.node(0).reserve(100).await.expect("it is covered");
+    fleet.kill(0);
+    let second = fleet.node(1).reserve(100).await.expect("it is covered");
+    let third = fleet.node(2).reserve(100).await.expect("it is covered");
+    fleet.node(1).finish(second, "r-1", 80).await;
+    fleet.node(2).finish(third, "r-1", 90).await;
+    fleet.heal().await;
+    fleet.check().await;
+    let bills = fleet.bills().await;
+    assert!(
+        bills.len() == 1 && [80, 90].contains(&bills["r-1"]),
+        "{bills:?}"
+    );
+}
+
+/// A dead router's tokens that no witness noted go back without anybody's word.
+#[tokio::test(start_paused = true)]
+async fn killed_returns_what_was_not_noted() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-1", "dakar-1"]).await;
+    fleet
+        .top_up("first", 1_000_000)
+        .await
+        .expect("the store is up");
+    let held = fleet.node(0).reserve(30_000).await.expect("it is covered");
+    fleet.node(0).finish(held, "r-1", 30_000).await;
+    for _ in 0..3 {
+        fleet.pass(1).await;
+        fleet.node(0).rounds.round().await;
+    }
+    let unspent = fleet.node(0).unspent();
+    fleet.kill(0);
+    fleet.heal().await;
+    fleet.check().await;
+    let row = fleet.accounts().budget(&crate::fleet::budget()).await;
+    let row = row.expect("the store is up").expect("the budget");
+    let with_routers: u64 = (1..4).map(|index| fleet.node(index).unspent()).sum();
+    let held_back = row.credited.get() - row.free.get() - 30_000 - with_routers;
+    assert!(held_back < unspent, "all {unspent} stay held back");
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&30_000));
+}
+
+/// A router is frozen past its closing and woken: it spends nothing that went back.
+#[tokio::test(start_paused = true)]
+async fn frozen_and_closed_spends_nothing_that_went_back() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-1", "dakar-1"]).await;
+    fleet.top_up("first", 2000).await.expect("the store is up");
+    let running = fleet.node(0).reserve(100).await.expect("it is covered");
+    fleet.freeze(0);
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.check().await;
+    fleet.thaw(0);
+    // The send after the wake was paid for by a noted block, so it is held back, not given out.
+    fleet.node(0).finish(running, "r-1", 100).await;
+    let mut more = 0;
+    while let Ok(reservation) = fleet.node(0).reserve(50).await {
+        more += 1;
+        fleet
+            .node(0)
+            .finish(reservation, &format!("woken-{more}"), 50)
+            .await;
+        fleet.check().await;
+    }
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&100));
+}
+
+/// A data centre goes with a router and one keeper in it; the keeper elsewhere bills.
+#[tokio::test(start_paused = true)]
+async fn data_centre_lost_is_billed_from_the_other() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2", "dakar-2"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    let held = fleet.node(0).reserve(100).await.expect("it is covered");
+    fleet.node(0).finish(held, "r-1", 70).await;
+    fleet.kill(0);
+    fleet.kill(1);
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&70));
+}
+
+/// Held tokens are released only when every router has said that it holds none of them.
+#[tokio::test(start_paused = true)]
+async fn release_waits_for_acknowledgements() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2", "dakar-2"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    let owner = fleet.node(0).board.me.incarnation;
+    let _lost = fleet.node(0).reserve(600).await.expect("it is covered");
+    // The second router takes some of the first one's tokens and then loses the store.
+    let taken = fleet.node(1).reserve(300).await.expect("it is covered");
+    fleet.kill(0);
+    fleet.faults.cut_store(1);
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.pass(8).await;
+    fleet.work().await;
+    let id = crate::fleet::budget();
+    let early = fleet.accounts().release(owner, &id).await;
+    assert!(early.is_err(), "the second router may still bill");
+    fleet.node(1).finish(taken, "r-1", 300).await;
+    fleet.heal().await;
+    let released = fleet.accounts().release(owner, &id).await;
+    released.expect("all have acknowledged");
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&300));
+}
+
+/// Ten routers drain one team's last tokens: nothing is overspent, and hardly anything strands.
+#[tokio::test(start_paused = true)]
+async fn last_tokens_are_spent_by_ten_routers() {
+    let places = ["dakar-1", "dakar-2", "dakar-3"];
+    let places: Vec<_> = places.iter().cycle().take(10).copied().collect();
+    let mut fleet = Fleet::start(&places).await;
+    let total = 20_000;
+    fleet.top_up("first", total).await.expect("the store is up");
+    let (mut spent, mut falsely, mut request) = (0, 0, 0);
+    let mut refused_in_a_row = 0;
+    while refused_in_a_row < 10 {
+        request += 1;
+        let node = fleet.node(request % 10);
+        match node.reserve(100).await {
+            Ok(reservation) => {
+                node.finish(reservation, &format!("r-{request}"), 60).await;
+                spent += 60;
+                refused_in_a_row = 0;
+            }
+            Err(_) => {
+                falsely += u64::from(total - spent >= 100);
+                refused_in_a_row += 1;
+            }
+        }
+        if request % 20 == 0 {
+            fleet.pass(1).await;
+        }
+    }
+    println!("requests {request}, spent {spent} of {total}, falsely refused {falsely}");
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.values().sum::<u64>(), spent);
+    let stated = request as u64 / 1000;
+    assert!(
+        falsely <= stated,
+        "{falsely} of {request} were falsely refused"
+    );
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -84,7 +84,10 @@
 impl Answer {
     /// Returns the text of a streamed answer.
     pub fn text(&self) -> String {
-        let events = self.body.split("\n\n").filter_map(|e| e.strip_prefix("data: "));
+        let events = self
+            .body
+            .split("\n\n")
+            .filter_map(|e| e.strip_prefix("data: "));
         let events = events.filter_map(|e| serde_json::from_str::<serde_json::Value>(e).ok());
         let content = |event: serde_json::Value| {
             let delta = &event["choices"][0]["delta"]["content"];
@@ -101,7 +104,10 @@
     /// Returns the code of a refusal.
     pub fn code(&self) -> String {
         let value: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
-        value["error"]["code"].as_str().unwrap_or_default().to_owned()
+        value["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
     }
 }
 
--- a/crates/standin/src/platform/memory.rs
+++ b/crates/standin/src/platform/memory.rs
@@ -22,6 +22,9 @@
         pub delay_ms: u64,
         /// How many of the next writes take effect and lose their answer.
         pub lose_next: u64,
+        /// How many of the next writes lose their answer and take effect only when they are let in,
+        /// if what they depend on still holds then.
+        pub late_next: u64,
         /// How many of a hundred writes take effect and lose their answer.
         pub lose_percent: u32,
         /// How many of a hundred calls are refused.
@@ -54,6 +57,7 @@
     faults: Faults,
     usage: Usage,
     dice: StdRng,
+    late: Vec<Transaction>,
 }
 
 /// The platform's data and faults.
@@ -72,6 +76,7 @@
             faults: Faults::default(),
             usage: Usage::default(),
             dice: StdRng::seed_from_u64(seed),
+            late: Vec::new(),
         };
         let state = Mutex::new(state);
         Self { state }
@@ -87,6 +92,18 @@
         self.state.lock().faults.clone()
     }
 
+    /// Lets the writes in that are on their way, and returns how many took effect.
+    pub fn let_late_in(&self) -> usize {
+        let mut state = self.state.lock();
+        let late = std::mem::take(&mut state.late);
+        let written = late.iter().map(|write| state.write(write));
+        let written: Vec<_> = written.collect();
+        written
+            .iter()
+            .filter(|commit| **commit == Commit::Done)
+            .count()
+    }
+
     /// Sets the VM list as callers will see it.
     pub fn set_vms(&self, vms: Vec<Vm>) {
         self.state.lock().vms = vms;
@@ -182,6 +199,11 @@
     async fn transact(&self, transaction: &Transaction) -> Result<Commit, TableError> {
         self.pass().await?;
         let mut state = self.state.lock();
+        if state.faults.late_next > 0 {
+            state.faults.late_next -= 1;
+            state.late.push(transaction.clone());
+            return Err(TableError::Lost("on its way".to_owned()));
+        }
         let commit = state.write(transaction);
         if state.loses_answer() {
             return Err(TableError::Lost("told to lose it".to_owned()));
