--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -95,10 +95,14 @@
         classes.flat_map(|class| class.expire(now)).collect()
     }
 
-    /// Returns the tokens that wait at a priority and at those more urgent.
-    pub fn ahead(&self, priority: Priority) -> Tokens {
-        let classes = &self.classes[..=priority.index()];
-        classes.iter().map(Class::cost).sum()
+    /// Returns how many requests come before a new one of a team, as far as is known now.
+    ///
+    /// Of its own priority these are no more of each other team than it has waiting itself, since
+    /// the teams take turns: a large team's backlog doesn't count against a small team.
+    pub fn ahead(&self, priority: Priority, team: &TeamId) -> usize {
+        let more_urgent = &self.classes[..priority.index()];
+        let before: usize = more_urgent.iter().map(Class::len).sum();
+        before + self.classes[priority.index()].ahead(team)
     }
 
     /// Returns how many requests wait.
--- a/crates/policy/src/queue/class.rs
+++ b/crates/policy/src/queue/class.rs
@@ -21,13 +21,11 @@
     lanes: IndexMap<TeamId, Lane>,
     /// The least service of any team when one was last served; a team that comes back starts here.
     floor: f64,
-    cost: Tokens,
     len: usize,
 }
 
 impl Class {
     pub(super) fn push(&mut self, waiting: Waiting) {
-        self.cost = self.cost.saturating_add(waiting.cost);
         self.len += 1;
         if !self.lanes.contains_key(&waiting.team) {
             self.lanes.insert(waiting.team.clone(), Lane::default());
@@ -46,7 +44,7 @@
         let waiting = lane.waiting.pop_front()?;
         self.floor = lane.served;
         lane.served += waiting.cost.get() as f64 / f64::from(waiting.weight.get());
-        self.forget(&waiting);
+        self.forget_one();
         Some(waiting)
     }
 
@@ -61,7 +59,7 @@
             let at = lane.waiting.iter().position(|w| w.ticket == ticket)?;
             lane.waiting.remove(at)
         })?;
-        self.forget(&waiting);
+        self.forget_one();
         Some(waiting)
     }
 
@@ -73,8 +71,14 @@
         tickets.into_iter().filter_map(|t| self.remove(t)).collect()
     }
 
-    pub(super) fn cost(&self) -> Tokens {
-        self.cost
+    /// Returns how many requests come before a new one of a team.
+    pub(super) fn ahead(&self, team: &TeamId) -> usize {
+        let own = self.lanes.get(team).map_or(0, |lane| lane.waiting.len());
+        let turns = self
+            .lanes
+            .values()
+            .map(|lane| lane.waiting.len().min(own + 1));
+        turns.sum::<usize>().saturating_sub(usize::from(own > 0))
     }
 
     pub(super) fn len(&self) -> usize {
@@ -92,8 +96,7 @@
         least.map(|(index, _)| index)
     }
 
-    fn forget(&mut self, waiting: &Waiting) {
-        self.cost = self.cost.saturating_sub(waiting.cost);
+    fn forget_one(&mut self) {
         self.len -= 1;
         let floor = self.floor;
         // A team with nothing waiting that was not served beyond the floor needs no memory.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -8,6 +8,12 @@
 /// The second tries that may be saved up.
 const MOST_SAVED: f64 = 10.0;
 
+/// The longest wait that is worked out.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
+
+/// The shortest pause that a caller is told to make.
+const SHORTEST_PAUSE: Duration = Duration::from_secs(1);
+
 /// The longest pause that a caller is told to make.
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
@@ -73,8 +79,13 @@
     }
 }
 
-/// Returns when a caller should ask again, from the work that waits and how fast it is done.
-pub fn pause(waiting_tokens: u64, tokens_a_second: f64) -> Duration {
-    let seconds = waiting_tokens as f64 / tokens_a_second.max(1.0);
-    Duration::from_secs_f64(seconds.min(LONGEST_PAUSE.as_secs_f64())).max(Duration::from_secs(1))
+/// Returns how long a request waits behind `ahead` others that are served at `rate` a second.
+pub fn expected_wait(ahead: usize, rate: f64) -> Duration {
+    let seconds = ahead as f64 / rate.max(f64::MIN_POSITIVE);
+    Duration::from_secs_f64(seconds.min(LONGEST_WAIT.as_secs_f64()))
+}
+
+/// Returns when a caller who was refused for an expected wait should ask again.
+pub fn pause(wait: Duration) -> Duration {
+    wait.clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
 }
--- a/crates/router/src/allowance.rs
+++ b/crates/router/src/allowance.rs
@@ -81,7 +81,9 @@
     ///
     /// A refusal that says whether the budget is used up or can't be asked; nothing has run.
     pub async fn reserve(&self, budget: &BudgetId, bound: Tokens) -> Result<Reservation, Refusal> {
-        if let Some(reservation) = self.try_reserve(budget, bound) {
+        if !self.is_contended(budget, bound)
+            && let Some(reservation) = self.try_reserve(budget, bound)
+        {
             return Ok(reservation);
         }
         let mut rounds = self.rounds.clone();
@@ -101,6 +103,16 @@
         }
     }
 
+    /// Returns whether requests wait that would lack what this one takes.
+    fn is_contended(&self, budget: &BudgetId, bound: Tokens) -> bool {
+        let mut needs = self.board.needs.lock();
+        let waiting = needs.need(budget).waiting();
+        let ledger = self.board.ledger.lock();
+        let purse = ledger.purse(budget);
+        let cleared = purse.map_or(Tokens::ZERO, |purse| purse.cleared());
+        !waiting.is_zero() && cleared < waiting.saturating_add(bound)
+    }
+
     fn try_reserve(&self, budget: &BudgetId, bound: Tokens) -> Option<Reservation> {
         let reservation = self.board.ledger.lock().reserve(budget, bound).ok()?;
         // Only what was served counts as demand, or refused requests would make this router hoard.
--- a/crates/router/src/allowance/round.rs
+++ b/crates/router/src/allowance/round.rs
@@ -1,5 +1,6 @@
 //! The rounds of the allowance controller.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -8,6 +9,8 @@
 use fescue_platform::accounts::{Accounts, Exchange};
 use fescue_policy::account::AccountError;
 use fescue_policy::ledger::Parts;
+use fescue_policy::sizing::Outlook;
+use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
 
 use super::clearing::Clearing;
@@ -39,6 +42,8 @@
     taking: Taking,
     /// An exchange that may have taken effect; it is asked again before any other.
     pending: Option<Exchange>,
+    /// What the last exchange drew less than waiting requests needed.
+    short: HashMap<BudgetId, Tokens>,
     exchanges: u64,
     unwell: u32,
     done: watch::Sender<u64>,
@@ -53,6 +58,7 @@
             clearing,
             taking: Taking::default(),
             pending: None,
+            short: HashMap::new(),
             exchanges: 0,
             unwell: 0,
             done: watch::Sender::new(0),
@@ -79,13 +85,17 @@
 
     /// Holds one round.
     pub async fn round(&mut self) {
-        let round = self.board.needs.lock().begin_round();
+        let (round, waiting) = self.board.needs.lock().begin_round();
         self.register().await;
         self.clearing.review().await;
         let store = self.exchange().await;
-        let budgets = self.wanting();
-        for (budget, waiting) in &budgets {
-            self.serve(budget, *waiting, round, store).await;
+        let short = match store {
+            Store::Answered => std::mem::take(&mut self.short),
+            Store::Silent => self.lacking(&waiting),
+        };
+        for budget in self.wanting() {
+            let short = short.get(&budget).copied().unwrap_or_default();
+            self.serve(&budget, short, round, store).await;
         }
         self.done.send_replace(round);
     }
@@ -166,6 +176,7 @@
                 for (budget, amount) in &drawn {
                     self.credit(budget, me, *amount);
                 }
+                self.short = shortfalls(&ask, &drawn);
                 Store::Answered
             }
             Err(TableError::Refused(AccountError::Closed(_))) => {
@@ -209,54 +220,72 @@
         tracing::warn!(%error, "the table gave no answer");
     }
 
-    /// Returns the budgets that need tokens cleared, with what waits for them.
-    fn wanting(&self) -> Vec<(BudgetId, Tokens)> {
+    /// Returns the budgets that need tokens cleared.
+    fn wanting(&self) -> Vec<BudgetId> {
         let now = self.board.now();
         let mut needs = self.board.needs.lock();
         let ledger = self.board.ledger.lock();
         let mut wanting = Vec::new();
         for (budget, need) in needs.iter_mut() {
-            let waiting = need.waiting();
-            let cleared = ledger.purse(budget).map_or(Tokens::ZERO, |p| p.cleared());
+            let purse = ledger.purse(budget);
+            let cleared = purse.map_or(Tokens::ZERO, |purse| purse.cleared());
             let block = Tokens::new((need.demand.rate(now) * BLOCK_SECONDS) as u64);
-            let low = cleared < block && ledger.purse(budget).is_some_and(|p| !p.free().is_zero());
-            if waiting > cleared || low {
-                wanting.push((budget.clone(), waiting));
+            let low = cleared < block && purse.is_some_and(|purse| !purse.free().is_zero());
+            if low || need.waiting() > cleared {
+                wanting.push(budget.clone());
             }
         }
         wanting
     }
 
+    /// Returns what waiting requests lack while the table can't be asked.
+    fn lacking(&self, waiting: &HashMap<BudgetId, Tokens>) -> HashMap<BudgetId, Tokens> {
+        let ledger = self.board.ledger.lock();
+        let lacks = |(budget, waiting): (&BudgetId, &Tokens)| {
+            let unspent = plan::unspent(&ledger, budget);
+            (budget.clone(), waiting.saturating_sub(unspent))
+        };
+        waiting.iter().map(lacks).collect()
+    }
+
     /// Serves one budget's need from peers and witnesses, and notes what was found.
-    async fn serve(&mut self, budget: &BudgetId, waiting: Tokens, round: u64, store: Store) {
-        let unspent = plan::unspent(&self.board.ledger.lock(), budget);
-        let missing = waiting.saturating_sub(unspent);
-        if !missing.is_zero() {
-            self.taking.take(&self.board, budget, missing).await;
+    ///
+    /// `short` is what the table lacked for requests that waited when it was asked. What others
+    /// spent meanwhile doesn't count: a later round asks for that.
+    async fn serve(&mut self, budget: &BudgetId, short: Tokens, round: u64, store: Store) {
+        let mut taken = Tokens::ZERO;
+        if !short.is_zero() {
+            taken = self.taking.take(&self.board, budget, short).await;
         }
-        let rate = self
-            .board
-            .needs
-            .lock()
-            .need(budget)
-            .demand
-            .rate(self.board.now());
+        let (waiting, rate) = {
+            let mut needs = self.board.needs.lock();
+            let need = needs.need(budget);
+            (need.waiting(), need.demand.rate(self.board.now()))
+        };
         let block = Tokens::new((rate * BLOCK_SECONDS) as u64).max(LEAST_BLOCK);
-        self.clearing.clear(budget, waiting.max(block)).await;
-        let ledger = self.board.ledger.lock();
-        let purse = ledger.purse(budget);
-        let cleared = purse.map_or(Tokens::ZERO, |purse| purse.cleared());
-        let free = purse.map_or(Tokens::ZERO, |purse| purse.free());
-        drop(ledger);
-        if cleared >= waiting {
-            return;
-        }
-        let enough = cleared.saturating_add(free) >= waiting;
+        let noted = self.clearing.clear(budget, waiting.max(block)).await;
         let verdict = match store {
-            _ if enough => Verdict::Unwitnessed,
-            Store::Answered => Verdict::Empty,
-            Store::Silent => Verdict::Unreachable,
+            Store::Answered if taken < short => Verdict::Empty,
+            Store::Silent if taken < short => Verdict::Unreachable,
+            _ if noted.is_zero() && self.is_stuck(budget, waiting) => Verdict::Unwitnessed,
+            _ => return,
         };
         self.board.needs.lock().conclude(budget, round, verdict);
     }
+
+    /// Returns whether enough is held, but too little of it is noted.
+    fn is_stuck(&self, budget: &BudgetId, waiting: Tokens) -> bool {
+        let ledger = self.board.ledger.lock();
+        let purse = ledger.purse(budget);
+        purse.is_some_and(|purse| purse.cleared() < waiting && !purse.free().is_zero())
+    }
+}
+
+/// Returns what an exchange drew less than waiting requests needed.
+fn shortfalls(ask: &Exchange, drawn: &IndexMap<BudgetId, Tokens>) -> HashMap<BudgetId, Tokens> {
+    let short = |(budget, outlook): (&BudgetId, &Outlook)| {
+        let got = drawn.get(budget).copied().unwrap_or_default();
+        (budget.clone(), outlook.needed.saturating_sub(got))
+    };
+    ask.draws.iter().map(short).collect()
 }
--- a/crates/router/src/blackboard/needs.rs
+++ b/crates/router/src/blackboard/needs.rs
@@ -1,5 +1,6 @@
 //! What waiting requests need of each budget, and what the last round found.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use fescue_core::{BudgetId, Tokens};
@@ -65,10 +66,12 @@
         self.need(budget).waiting.shift_remove(&number);
     }
 
-    /// Begins a round.
-    pub fn begin_round(&mut self) -> u64 {
+    /// Begins a round; returns its number and what is needed as it begins.
+    pub fn begin_round(&mut self) -> (u64, HashMap<BudgetId, Tokens>) {
         self.round += 1;
-        self.round
+        let needs = self.needs.iter();
+        let waiting = needs.map(|(budget, need)| (budget.clone(), need.waiting()));
+        (self.round, waiting.collect())
     }
 
     /// Notes what a round found.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns when the request was placed.
+    pub fn started(&self) -> Duration {
+        self.started
+    }
+
     /// Says how the request went, as far as that says something of the upstream.
     pub fn judge(&mut self, good: bool) {
         self.good = Some(good);
@@ -83,8 +88,11 @@
     let now = board.now();
     let ticket = Ticket(board.next_number());
     let (sender, granted) = oneshot::channel();
-    let pushed = board.pools.lock().push(pool, ticket, job, sender, now);
-    pushed?;
+    {
+        let mut pools = board.pools.lock();
+        let upstreams = board.upstreams.lock();
+        pools.push(pool, ticket, job, sender, &upstreams, now)?;
+    }
     let place = Place {
         board: Arc::clone(board),
         pool: pool.clone(),
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -14,7 +14,6 @@
 use fescue_policy::placement::{self, Candidate, Choice};
 use fescue_policy::queue::{Queue, Shares, Ticket, Waiting};
 use fescue_policy::retry;
-use fescue_policy::sizing::Demand;
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -82,8 +81,6 @@
     queue: Queue,
     entries: HashMap<Ticket, Entry>,
     upstreams: Vec<Arc<Upstream>>,
-    /// The tokens granted a second, for telling refused callers when to come back.
-    granted: Demand,
 }
 
 /// A granted request.
@@ -127,20 +124,22 @@
         ticket: Ticket,
         job: Job,
         sender: Sender,
+        upstreams: &Upstreams,
         now: Duration,
     ) -> Result<(), Refusal> {
-        let (target, patience) = self.patience(&job);
+        let patience = self.patience(&job);
         let lane = self.lane(pool);
         if lane.upstreams.is_empty() {
             let message = format!("no upstream serves {pool}");
             return Err(Refusal::not_run(Reason::NotFound, message));
         }
-        let ahead = lane.queue.ahead(job.priority).get();
-        let rate = lane.granted.rate(now);
-        let wait = retry::pause(ahead, rate);
-        if ahead > 0 && rate > 0.0 && wait > target.max(patience) {
-            let message = format!("{ahead} tokens wait before this request");
-            return Err(Refusal::not_run(Reason::Overload, message).after(wait));
+        let ahead = lane.queue.ahead(job.priority, &job.team);
+        let rate = upstreams.service_rate(names(&lane.upstreams));
+        let wait = retry::expected_wait(ahead, rate);
+        if wait > patience {
+            let message = format!("{ahead} requests wait before this one");
+            let refusal = Refusal::not_run(Reason::Overload, message);
+            return Err(refusal.after(retry::pause(wait)));
         }
         lane.queue.push(Waiting {
             ticket,
@@ -200,13 +199,12 @@
             .collect()
     }
 
-    fn patience(&self, job: &Job) -> (Duration, Duration) {
+    fn patience(&self, job: &Job) -> Duration {
         let rule = self.book.priorities.get(&job.priority);
         let target = rule.map_or(DEFAULT_TARGET, |rule| rule.target);
         let percent = self.book.setting(Setting::QueuePatience) as u32;
         let patience = target * percent / 100;
-        let patience = job.patience.map_or(patience, |most| patience.min(most));
-        (target, patience)
+        job.patience.map_or(patience, |most| patience.min(most))
     }
 
     fn lane(&mut self, pool: &Pool) -> &mut Lane {
@@ -215,7 +213,6 @@
                 queue: Queue::open(shares(&self.book)),
                 entries: HashMap::new(),
                 upstreams: serving(&self.book, pool),
-                granted: Demand::default(),
             };
             self.lanes.insert(pool.clone(), lane);
         }
@@ -246,7 +243,7 @@
         let entry = self.entries.remove(&waiting.ticket)?;
         let job = &entry.job;
         let mut candidates = self.candidates(upstreams, near, job.prefix, job.prompt, now);
-        self.narrow(job, &mut candidates);
+        self.narrow(job, upstreams, &mut candidates);
         let Some(choice) = placement::choose(dice, job.prefix, &candidates) else {
             // Only the upstream that it is confined to would do, and that one is not open.
             self.entries.insert(waiting.ticket, entry);
@@ -255,7 +252,6 @@
         };
         let upstream = Arc::clone(&self.upstreams[choice.index]);
         upstreams.start(&upstream.name, job.prefix);
-        self.granted.add(now, job.cost);
         self.log(pool, &entry, &choice, &candidates, now);
         let sender = entry.sender;
         Some(Grant { upstream, sender })
@@ -285,12 +281,14 @@
     }
 
     /// Closes the candidates that a request must not or should not go to.
-    fn narrow(&self, job: &Job, candidates: &mut [Candidate]) {
+    fn narrow(&self, job: &Job, upstreams: &Upstreams, candidates: &mut [Candidate]) {
         if let Some(fingerprint) = job.confine {
-            let members = candidates
-                .iter()
-                .map(|c| hash::score(fingerprint, c.member));
-            let place = members.enumerate().max_by_key(|(_, score)| *score);
+            let up = |index: usize| {
+                let state = upstreams.get(&self.upstreams[index].name);
+                state.is_some_and(|state| state.is_up())
+            };
+            let up = candidates.iter().enumerate().filter(|(i, _)| up(*i));
+            let place = up.max_by_key(|(_, c)| hash::score(fingerprint, c.member));
             let place = place.map(|(index, _)| index);
             for (index, candidate) in candidates.iter_mut().enumerate() {
                 candidate.open &= Some(index) == place;
--- a/crates/router/src/front/answer.rs
+++ b/crates/router/src/front/answer.rs
@@ -22,7 +22,7 @@
         request = request.map(RequestId::as_str),
         reason = refusal.reason.code(),
         outcome = refusal.execution.as_str(),
-        message = refusal.message,
+        detail = refusal.message,
         "refused"
     );
     let status = StatusCode::from_u16(refusal.reason.status());
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -183,8 +183,9 @@
             };
             permit.judge(false);
             self.avoid.push(permit.upstream.name.clone());
+            let started = permit.started();
             drop(permit);
-            self.blame(failure).await;
+            self.blame(failure, started).await;
             self.log_failure(failure, attempt, progress.delivered);
             attempt += 1;
             let again = retry::may_retry(failure, true, true) && attempt <= ATTEMPTS;
@@ -262,8 +263,10 @@
         let _gone = began.send(Ok(()));
     }
 
-    /// Holds a crash against the request, if the upstream is really down.
-    async fn blame(&self, failure: Failure) {
+    /// Holds a crash against the request, if the upstream went down while it ran.
+    ///
+    /// One that was down when the request was placed says nothing of the request.
+    async fn blame(&self, failure: Failure, started: Duration) {
         let broke = matches!(failure, Failure::Broke | Failure::MidAnswer);
         let Some(last) = self.avoid.last().filter(|_| broke) else {
             return;
@@ -275,6 +278,10 @@
             return;
         }
         let now = board.now();
+        let since = board.upstreams.lock().miss_report(last, now);
+        if since.is_none_or(|since| started > since) {
+            return;
+        }
         let crashes = board.suspects.lock().blame(self.order.fingerprint, now);
         tracing::warn!(request = %self.caller.request, upstream = %last, crashes, "an upstream went down with this request");
         self.front.news.notify_one();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -137,6 +137,13 @@
             biller,
             accounts,
         };
+        tracing::info!(
+            callers = %router.callers.address,
+            peers = %router.peers.address,
+            operators = %router.operators.address,
+            incarnation = %router.board.me.incarnation,
+            "listening"
+        );
         router.start(config, caller, copying, membership, billing);
         Ok(router)
     }
--- a/crates/router/src/upstream/load.rs
+++ b/crates/router/src/upstream/load.rs
@@ -67,7 +67,7 @@
                 let requests = report.running + report.waiting;
                 upstreams.report(name, report.incarnation, requests, report.leaving);
             }
-            None => upstreams.miss_report(name, self.board.now()),
+            None => drop(upstreams.miss_report(name, self.board.now())),
         }
     }
 }
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -15,6 +15,9 @@
 /// The expected time of a request at an upstream that has answered none yet.
 const FIRST_GUESS: Duration = Duration::from_millis(200);
 
+/// The shortest mean time that is reckoned with, in seconds.
+const LEAST_MEAN: f64 = 0.001;
+
 /// The weight of the newest request in the mean time of an upstream.
 const NEWEST: f64 = 0.1;
 
@@ -37,6 +40,8 @@
     mean: Duration,
     prefixes: IndexSet<u64>,
     leaving: bool,
+    /// Since when it answers nothing, until its next report.
+    down: Option<Duration>,
 }
 
 record! {
@@ -54,7 +59,7 @@
         pub slots: u32,
         /// Whether it gets no new work because it leaves.
         pub leaving: bool,
-        /// Whether it gets no new work because it failed.
+        /// Whether it gets no new work because it is down or failed.
         pub tripped: bool,
     }
 }
@@ -71,6 +76,7 @@
             mean: FIRST_GUESS,
             prefixes: IndexSet::new(),
             leaving: false,
+            down: None,
             rule,
         }
     }
@@ -115,7 +121,12 @@
 
     fn is_open(&self, now: Duration) -> bool {
         let allowed = self.limit.allows(self.own, &self.occupancy);
-        allowed && !self.leaving && self.breaker.allows(now)
+        allowed && self.is_up() && self.breaker.allows(now)
+    }
+
+    /// Returns whether it may get new work once it has room.
+    pub fn is_up(&self) -> bool {
+        !self.leaving && self.down.is_none()
     }
 
     /// Returns whether it would still be open to bulk work, which may use `ceiling` percent.
@@ -214,6 +225,13 @@
         })
     }
 
+    /// Returns how many requests a second this router's part of some upstreams can serve.
+    pub fn service_rate<'a>(&self, names: impl Iterator<Item = &'a UpstreamId>) -> f64 {
+        let up = names.filter_map(|name| self.states.get(name).filter(|s| s.is_up()));
+        let rate = |s: &State| f64::from(s.limit.part()) / s.mean.as_secs_f64().max(LEAST_MEAN);
+        up.map(rate).sum()
+    }
+
     /// Notes that a request goes to an upstream.
     pub fn start(&mut self, name: &UpstreamId, prefix: u64) {
         if let Some(state) = self.states.get_mut(name) {
@@ -242,17 +260,18 @@
         }
         state.incarnation = incarnation;
         state.leaving = gone;
+        state.down = None;
         state.occupancy = Occupancy {
             reported: requests,
             ..Occupancy::default()
         };
     }
 
-    /// Notes that an upstream gave no report.
-    pub fn miss_report(&mut self, name: &UpstreamId, now: Duration) {
-        if let Some(state) = self.states.get_mut(name) {
-            state.breaker.learn(now, false);
-        }
+    /// Notes that an upstream gives no report, and returns since when.
+    pub fn miss_report(&mut self, name: &UpstreamId, now: Duration) -> Option<Duration> {
+        let state = self.states.get_mut(name)?;
+        let since = *state.down.get_or_insert(now);
+        Some(since)
     }
 
     /// Notes that one incarnation of an upstream leaves; it gets no new work from now on.
@@ -289,7 +308,7 @@
             estimate: state.occupancy.estimate(),
             slots: state.limit.slots(),
             leaving: state.leaving,
-            tripped: !state.breaker.allows(now),
+            tripped: state.down.is_some() || !state.breaker.allows(now),
         };
         self.states.values().map(snapshot).collect()
     }
--- a/crates/router/tests/suite/fleet.rs
+++ b/crates/router/tests/suite/fleet.rs
@@ -16,7 +16,9 @@
 use fescue_platform::accounts::Accounts;
 use fescue_platform::billing::Billing;
 use fescue_platform::config::Config;
-use fescue_platform::{Table, TableError};
+use fescue_platform::table::scan_all;
+use fescue_platform::{Row, Table, TableError};
+use fescue_policy::account::TopUpRow;
 use fescue_router::membership;
 use fescue_standin::platform::{Faults as StoreFaults, Memory};
 
@@ -182,6 +184,11 @@
         self.change_store(|faults| faults.late_next = count);
     }
 
+    /// Has each call of the table take a time, in milliseconds.
+    pub fn set_store_delay(&self, delay_ms: u64) {
+        self.change_store(|faults| faults.delay_ms = delay_ms);
+    }
+
     /// Has the table refuse every call, or work again.
     pub fn set_outage(&self, outage: bool) {
         self.change_store(|faults| faults.outage = outage);
@@ -252,6 +259,11 @@
         }
         let sum = row.free.saturating_add(row.settled).saturating_add(kept);
         assert_eq!(row.credited, sum, "tokens were made or lost in the table");
+        let credited = self.top_ups().await;
+        assert_eq!(
+            row.credited, credited,
+            "a top-up was credited twice or not at all"
+        );
         let sum: u64 = self.bills().await.values().sum();
         assert_eq!(billed.get(), sum, "bills and charges differ");
         for (owner, allowance) in &rows {
@@ -266,6 +278,15 @@
         }
     }
 
+    /// Returns the sum of all top-ups that the table knows by their ids.
+    async fn top_ups(&self) -> Tokens {
+        let rows = scan_all(self.memory.as_ref(), "topup/").await;
+        let rows = rows.expect("the table can be read");
+        let decode = |row: &Row| row.decode::<TopUpRow>().expect("a top-up");
+        let rows = rows.iter().filter_map(decode);
+        rows.map(|row| row.amount).sum()
+    }
+
     /// Returns what all routers hold of a line; of a closed one, only what witnesses noted.
     fn billable(&self, origin: Incarnation, closed: bool) -> Tokens {
         let nodes = self.nodes.iter().flatten();
--- a/crates/router/tests/suite/fleet/node.rs
+++ b/crates/router/tests/suite/fleet/node.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::task::Poll;
+use std::time::Duration;
 
 use fescue_core::settings::Settings;
 use fescue_core::{Incarnation, Refusal, Tokens};
@@ -118,6 +119,25 @@
         reserved.await
     }
 
+    /// Sets the bounds of many requests aside that come a millisecond after each other.
+    pub async fn reserve_crowd(
+        &mut self,
+        count: u64,
+        bound: u64,
+    ) -> Vec<Result<Reservation, Refusal>> {
+        let allowance = &self.allowance;
+        let asked = (0..count).map(|number| async move {
+            tokio::time::sleep(Duration::from_millis(number)).await;
+            allowance.reserve(&budget(), Tokens::new(bound)).await
+        });
+        let asked = futures_util::future::join_all(asked);
+        let (_keep, mut never) = tokio::sync::oneshot::channel();
+        tokio::select! {
+            reserved = asked => reserved,
+            () = self.rounds.run_until(&mut never) => unreachable!("it is never stopped"),
+        }
+    }
+
     /// Ends a request: its bill is made and kept before this returns.
     pub async fn finish(&self, reservation: Reservation, request: &str, used: u64) {
         let item = Item {
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -3,3 +3,8 @@
 mod fleet;
 mod money_generated;
 mod money_stories;
+mod process_calls;
+mod process_input;
+mod process_service;
+mod process_stops;
+mod site;
--- a/crates/router/tests/suite/money_generated.rs
+++ b/crates/router/tests/suite/money_generated.rs
@@ -18,7 +18,10 @@
 /// One step of a generated story.
 #[derive(Clone, Debug)]
 enum Step {
-    TopUp(u64),
+    TopUp {
+        id: u64,
+        amount: u64,
+    },
     Ask {
         node: usize,
         bound: u64,
@@ -45,6 +48,8 @@
     Cut(usize, usize),
     Freeze(usize),
     Thaw(usize),
+    /// Freezes a router until it is closed, and has it spend before it hears of that.
+    Doze(usize),
     Kill(usize),
     Heal,
 }
@@ -52,7 +57,8 @@
 fn step() -> impl Strategy<Value = Step> {
     let node = 0..PLACES.len();
     prop_oneof![
-        2 => (1..5000_u64).prop_map(Step::TopUp),
+        2 => (0..6_u64).prop_map(|id| Step::TopUp { id, amount: 300 + id * 700 }),
+        1 => node.clone().prop_map(Step::Doze),
         14 => (node.clone(), 1..900_u64).prop_map(|(node, bound)| Step::Ask { node, bound }),
         12 => (0..4_usize, 1..130_u64).prop_map(|(pick, percent)| Step::Finish { pick, percent }),
         4 => (node.clone(), 0..4_usize).prop_map(|(node, pick)| Step::Repeat { node, pick }),
@@ -134,8 +140,8 @@
         .top_up("founding", FOUNDING)
         .await
         .expect("the store is up");
-    for (index, step) in steps.iter().enumerate() {
-        take(&mut fleet, &mut callers, index, step).await;
+    for step in steps {
+        take(&mut fleet, &mut callers, step).await;
         fleet.beat();
         fleet.check_unless_down().await;
     }
@@ -157,9 +163,10 @@
     reached
 }
 
-async fn take(fleet: &mut Fleet, callers: &mut Callers, index: usize, step: &Step) {
+async fn take(fleet: &mut Fleet, callers: &mut Callers, step: &Step) {
     match *step {
-        Step::TopUp(amount) => drop(fleet.top_up(&format!("t-{index}"), amount).await),
+        Step::TopUp { id, amount } => drop(fleet.top_up(&format!("t-{id}"), amount).await),
+        Step::Doze(node) => doze(fleet, callers, node).await,
         Step::Ask { node, bound } => ask(fleet, callers, node, None, bound).await,
         Step::Repeat { node, pick } => {
             let last = callers.answered.len().saturating_sub(1);
@@ -214,6 +221,18 @@
     }
 }
 
+async fn doze(fleet: &mut Fleet, callers: &mut Callers, node: usize) {
+    fleet.freeze(node);
+    for _ in 0..2 {
+        fleet.pass(7).await;
+        fleet.work().await;
+    }
+    fleet.thaw(node);
+    for bound in [50, 400] {
+        ask(fleet, callers, node, None, bound).await;
+    }
+}
+
 async fn end(
     fleet: &mut Fleet,
     callers: &mut Callers,
--- a/crates/router/tests/suite/money_stories.rs
+++ b/crates/router/tests/suite/money_stories.rs
@@ -313,3 +313,39 @@
         "{falsely} of {request} were falsely refused"
     );
 }
+
+/// Requests that come while a round is under way: none is refused for what that round didn't ask.
+#[tokio::test(start_paused = true)]
+async fn crowd_on_an_ample_budget_is_never_refused() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2"]).await;
+    fleet
+        .top_up("first", 1_000_000)
+        .await
+        .expect("the store is up");
+    fleet.set_store_delay(5);
+    let reserved = fleet.node(0).reserve_crowd(40, 66).await;
+    let refused: Vec<_> = reserved.iter().filter_map(|r| r.as_ref().err()).collect();
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
+/// A peer's answer is lost after it handed tokens over: asking again finds the same tokens.
+#[tokio::test(start_paused = true)]
+async fn lost_hand_over_is_found_again() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2"]).await;
+    fleet.top_up("first", 1000).await.expect("the store is up");
+    let other = fleet.node(1).reserve(1000).await.expect("it is covered");
+    fleet.node(1).finish(other, "r-1", 100).await;
+    fleet.faults.lose_peer_answers(1);
+    let refused = fleet.node(0).reserve(900).await;
+    assert!(refused.is_err(), "the answer was lost");
+    fleet.faults.clear();
+    let found = fleet
+        .node(0)
+        .reserve(900)
+        .await
+        .expect("the tokens are found");
+    fleet.node(0).finish(found, "r-2", 900).await;
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.values().sum::<u64>(), 1000);
+}
--- /dev/null
+++ b/crates/router/tests/suite/process_input.rs
@@ -0,0 +1,233 @@
+//! Bad input: a clear status and code each, and whether the request ran.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use fescue_standin::caller::Ask;
+use serde_json::json;
+
+use crate::site::{KEY, QUICK, Site, chat};
+
+fn body(change: impl FnOnce(&mut serde_json::Value)) -> Ask {
+    let message = json!({"role": "user", "content": "a fair price"});
+    let mut body = json!({"model": "price", "max_tokens": 5, "messages": [message]});
+    change(&mut body);
+    Ask::post("/v1/chat/completions", KEY, &body.to_string())
+}
+
+#[tokio::test]
+async fn bad_input_is_refused_as_not_run() {
+    let site = Site::start(&["dakar-1"], 1, QUICK).await;
+    let cases = [
+        (
+            "no JSON",
+            Ask::post("/v1/chat/completions", KEY, "{"),
+            400,
+            "bad_request",
+        ),
+        (
+            "a list",
+            Ask::post("/v1/chat/completions", KEY, "[]"),
+            400,
+            "bad_request",
+        ),
+        (
+            "no model",
+            body(|b| b["model"] = json!(null)),
+            400,
+            "bad_request",
+        ),
+        (
+            "unknown model",
+            body(|b| b["model"] = json!("nonesuch")),
+            404,
+            "not_found",
+        ),
+        (
+            "negative",
+            body(|b| b["max_tokens"] = json!(-1)),
+            400,
+            "bad_request",
+        ),
+        (
+            "zero",
+            body(|b| b["max_tokens"] = json!(0)),
+            400,
+            "bad_request",
+        ),
+        (
+            "huge",
+            body(|b| b["max_tokens"] = json!(u64::MAX)),
+            400,
+            "bad_request",
+        ),
+        (
+            "fraction",
+            body(|b| b["max_tokens"] = json!(1.5)),
+            400,
+            "bad_request",
+        ),
+        (
+            "no messages",
+            body(|b| b["messages"] = json!([])),
+            400,
+            "bad_request",
+        ),
+        (
+            "no content",
+            body(|b| b["messages"] = json!([{}])),
+            400,
+            "bad_request",
+        ),
+        (
+            "stream",
+            body(|b| b["stream"] = json!("yes")),
+            400,
+            "bad_request",
+        ),
+        (
+            "wrong key",
+            Ask {
+                key: Some("other".into()),
+                ..body(|_| ())
+            },
+            401,
+            "bad_key",
+        ),
+        (
+            "no key",
+            Ask {
+                key: None,
+                ..body(|_| ())
+            },
+            401,
+            "bad_key",
+        ),
+        (
+            "priority",
+            body(|_| ()).with_priority("soon"),
+            400,
+            "bad_request",
+        ),
+        (
+            "forbidden",
+            body(|_| ()).with_priority("bulk"),
+            403,
+            "forbidden",
+        ),
+        ("bad id", body(|_| ()).with_id("a b"), 400, "bad_request"),
+        (
+            "too large",
+            body(|b| b["messages"][0]["content"] = json!("x".repeat(70_000))),
+            413,
+            "too_large",
+        ),
+        (
+            "unknown service",
+            Ask::post("/services/nonesuch/x", KEY, "{}"),
+            404,
+            "not_found",
+        ),
+        (
+            "unknown path",
+            Ask::post("/v2/other", KEY, "{}"),
+            404,
+            "not_found",
+        ),
+    ];
+    for (name, ask, status, code) in cases {
+        let answer = site.ask(0, &ask).await;
+        let found = (answer.status, answer.code(), answer.outcome.clone());
+        let expected = (status, code.to_owned(), "not_run".to_owned());
+        assert_eq!(found, expected, "{name}: {}", answer.body);
+    }
+    assert_eq!(site.engines[0].0.load().started, 0, "nothing ran");
+    let answer = site.ask(0, &body(|_| ())).await;
+    assert_eq!(
+        answer.status, 200,
+        "a good request is served: {}",
+        answer.body
+    );
+}
+
+#[tokio::test]
+async fn reused_id_with_another_prompt_is_refused_everywhere() {
+    let site = Site::start(&["dakar-1", "dakar-2"], 1, QUICK).await;
+    site.ask(0, &chat("r-1", "a fair price", 5)).await;
+    let local = site.ask(0, &chat("r-1", "another", 5)).await;
+    assert_eq!((local.status, local.outcome.as_str()), (409, "not_run"));
+    site.wait_for_bills(1).await;
+}
+
+#[tokio::test]
+async fn empty_budget_is_refused_as_not_run() {
+    let site = Site::start(&["dakar-1"], 1, QUICK).await;
+    let rules = format!("{}budget yard/empty # asked by Awa\n", site.rules());
+    site.apply_rules("empty", &rules).await;
+    let answer = site.ask(0, &chat("r-1", &"long ".repeat(10), 4096)).await;
+    assert_eq!(answer.status, 200);
+}
+
+/// Sends raw bytes and returns what comes back before the connection closes.
+fn raw(site: &Site, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(site.routers[0].callers).expect("a connection");
+    let patience = Some(Duration::from_secs(5));
+    stream.set_read_timeout(patience).expect("a socket option");
+    stream.write_all(bytes).expect("the bytes are sent");
+    let mut answer = Vec::new();
+    let _end = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_caller_is_refused() {
+    let site = Site::start(&["dakar-1"], 1, QUICK).await;
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 100\r\nconnection: close\r\n\r\n{{"
+    );
+    let answer = raw(&site, head.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("\"not_run\""), "{answer}");
+    let never = raw(
+        &site,
+        b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-slow: ",
+    );
+    assert!(never.is_empty(), "the connection is closed: {never}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn smuggled_request_is_not_served() {
+    let site = Site::start(&["dakar-1"], 1, QUICK).await;
+    let inner = format!(
+        "POST /services/purchases/register HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 2\r\n\r\n{{}}"
+    );
+    let outer = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n0\r\n\r\n{inner}",
+        5 + inner.len()
+    );
+    let answer = raw(&site, outer.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(
+        site.registry.0.runs().is_empty(),
+        "the inner request never ran"
+    );
+}
+
+#[tokio::test]
+async fn wrong_settings_are_reported_whole() {
+    let text = r#"{"vm": 1, "lisen": {}, "limits": {"body_bytes": 0}}"#;
+    let report = fescue_core::settings::Settings::parse("router.json", text);
+    let message = report.expect_err("it is wrong").to_string();
+    for part in [
+        "vm: expected",
+        "lisen",
+        "data_centre is missing",
+        "body_bytes: expected",
+    ] {
+        assert!(message.contains(part), "{message}");
+    }
+}
--- /dev/null
+++ b/crates/router/tests/suite/process_service.rs
@@ -0,0 +1,189 @@
+//! Chat completions through real processes: placement, resume, crossed answers, leaving callers.
+
+use fescue_standin::engine::EngineFaults;
+use rustix::process::Signal;
+
+use crate::site::{QUICK, SLOW, Site, chat, eventually, expected_text};
+
+#[tokio::test]
+async fn stream_is_whole_and_billed_once() {
+    let site = Site::start(&["dakar-1", "dakar-2"], 2, QUICK).await;
+    let answer = site.ask(0, &chat("r-1", "a fair price", 20)).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (200, "ran"));
+    assert!(answer.is_whole());
+    assert_eq!(answer.text(), expected_text("a fair price", 20));
+    let again = site.ask(1, &chat("r-1", "a fair price", 20)).await;
+    assert!(again.is_whole());
+    let bills = site.wait_for_bills(1).await;
+    assert_eq!(bills["r-1"], 3 + 20);
+    let placed = site.routers[0].logged("placed");
+    assert_eq!(placed.len(), 1, "one decision line a placement");
+    assert_eq!(placed[0]["target"], "decision");
+}
+
+#[tokio::test]
+async fn killed_router_leaves_the_other_serving() {
+    let mut site = Site::start(&["dakar-1", "dakar-2"], 2, SLOW).await;
+    let prompts: Vec<_> = (0..5).map(|n| format!("price of lot {n}")).collect();
+    let open: Vec<_> = prompts
+        .iter()
+        .enumerate()
+        .map(|(n, prompt)| site.ask_later(0, &chat(&format!("r-{n}"), prompt, 60)))
+        .collect();
+    let started = || {
+        site.engines
+            .iter()
+            .map(|(engine, _)| engine.load().started)
+            .sum::<u64>()
+    };
+    eventually("the streams are open", || async { started() >= 5 }).await;
+    site.routers[0].signal(Signal::KILL);
+    for stream in open {
+        let cut = stream.await.expect("the caller runs");
+        assert!(cut.is_none_or(|answer| !answer.is_whole()));
+    }
+    // Each caller tries again on the other router, one of them twice at the same time.
+    let twin = site.ask_later(1, &chat("r-0", &prompts[0], 60));
+    for (n, prompt) in prompts.iter().enumerate() {
+        let answer = site.ask(1, &chat(&format!("r-{n}"), prompt, 60)).await;
+        assert_eq!(answer.text(), expected_text(prompt, 60));
+    }
+    assert!(
+        twin.await
+            .expect("the caller runs")
+            .is_some_and(|a| a.is_whole())
+    );
+    let _ended = site.routers[0].wait().await;
+    let bills = site.wait_for_bills(5).await;
+    assert_eq!(bills.len(), 5);
+}
+
+#[tokio::test]
+async fn cut_engine_is_resumed_on_another() {
+    let site = Site::start(&["dakar-1"], 2, QUICK).await;
+    for (engine, _) in &site.engines[..1] {
+        engine.set_faults(EngineFaults {
+            cut_after: 7,
+            ..EngineFaults::default()
+        });
+    }
+    for n in 0..6 {
+        let prompt = format!("lot {n}");
+        let answer = site.ask(0, &chat(&format!("r-{n}"), &prompt, 30)).await;
+        assert_eq!(
+            answer.text(),
+            expected_text(&prompt, 30),
+            "nothing is lost or doubled"
+        );
+    }
+    let bills = site.wait_for_bills(6).await;
+    assert!(bills.values().all(|tokens| *tokens == 2 + 30), "{bills:?}");
+}
+
+#[tokio::test]
+async fn crossed_answer_is_never_passed_on() {
+    let site = Site::start(&["dakar-1"], 2, QUICK).await;
+    site.engines[0].0.set_faults(EngineFaults {
+        crossed: true,
+        ..EngineFaults::default()
+    });
+    for n in 0..6 {
+        let prompt = format!("lot {n}");
+        let answer = site.ask(0, &chat(&format!("r-{n}"), &prompt, 10)).await;
+        assert_eq!(answer.text(), expected_text(&prompt, 10));
+    }
+}
+
+#[tokio::test]
+async fn leaving_caller_cancels_and_is_billed_for_what_ran() {
+    let site = Site::start(&["dakar-1"], 1, SLOW).await;
+    let open = site.ask_later(0, &chat("r-1", "a long report", 2000));
+    let running = || site.engines[0].0.load().running;
+    eventually("the stream is open", || async { running() == 1 }).await;
+    tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+    open.abort();
+    eventually("the engine is told", || async { running() == 0 }).await;
+    assert_eq!(site.engines[0].0.load().cancelled, 1);
+    let bills = site.wait_for_bills(1).await;
+    assert!((1..2000).contains(&bills["r-1"]), "{bills:?}");
+}
+
+#[tokio::test]
+async fn crashing_request_takes_at_most_two_engines() {
+    let site = Site::start(&["dakar-1", "dakar-1", "dakar-2"], 5, QUICK).await;
+    for n in 0..9 {
+        let poison = chat(&format!("p-{n}"), "crash-the-engine now", 10);
+        let answer = site.ask(n % 3, &poison).await;
+        assert_ne!(answer.status, 200);
+        if n > 3 {
+            assert_eq!(
+                (answer.code().as_str(), answer.outcome.as_str()),
+                ("quarantined", "ran")
+            );
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+    }
+    let crashed = site
+        .engines
+        .iter()
+        .filter(|(engine, _)| engine.faults().down);
+    assert_eq!(crashed.count(), 2);
+    let answer = site.ask(0, &chat("r-1", "a fair price", 5)).await;
+    assert!(answer.is_whole(), "the others still serve");
+}
+
+#[tokio::test]
+async fn engine_dying_by_itself_quarantines_nothing() {
+    let site = Site::start(&["dakar-1"], 4, SLOW).await;
+    let open: Vec<_> = (0..8)
+        .map(|n| site.ask_later(0, &chat(&format!("r-{n}"), &format!("lot {n}"), 60)))
+        .collect();
+    let running = || {
+        site.engines
+            .iter()
+            .map(|(engine, _)| engine.load().running)
+            .sum::<usize>()
+    };
+    eventually("the streams are open", || async { running() == 8 }).await;
+    site.engines[0].0.set_faults(EngineFaults {
+        down: true,
+        ..EngineFaults::default()
+    });
+    for (n, stream) in open.into_iter().enumerate() {
+        let answer = stream.await.expect("the caller runs").expect("an answer");
+        assert_eq!(answer.text(), expected_text(&format!("lot {n}"), 60));
+    }
+    for n in 0..8 {
+        let answer = site
+            .ask(0, &chat(&format!("s-{n}"), &format!("lot {n}"), 5))
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+}
+
+#[tokio::test]
+async fn leaving_engine_gets_no_new_work() {
+    let site = Site::start(&["dakar-1", "dakar-2"], 2, QUICK).await;
+    site.engines[0].0.set_faults(EngineFaults {
+        leaving: true,
+        ..EngineFaults::default()
+    });
+    for index in 0..2 {
+        eventually("the router knows", || async {
+            !site.routers[index]
+                .logged("the upstream is leaving")
+                .is_empty()
+        })
+        .await;
+    }
+    let before = site.engines[0].0.load().started;
+    // It says that it stays again; what was seen once isn't taken back.
+    site.engines[0].0.set_faults(EngineFaults::default());
+    for n in 0..10 {
+        let answer = site
+            .ask(n % 2, &chat(&format!("r-{n}"), &format!("lot {n}"), 5))
+            .await;
+        assert!(answer.is_whole());
+    }
+    assert_eq!(site.engines[0].0.load().started, before);
+}
--- /dev/null
+++ b/crates/router/tests/suite/site/process.rs
@@ -0,0 +1,132 @@
+//! One router's process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+use super::eventually;
+
+/// The operators' token.
+pub const OPERATOR: &str = "operator-token";
+
+/// A router that runs, killed when dropped.
+pub struct Process {
+    pub vm: String,
+    pub data_centre: String,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Process {
+    /// Starts a router and waits until it listens.
+    pub async fn spawn(folder: &Path, vm: &str, data_centre: &str, platform: SocketAddr) -> Self {
+        let settings = write_settings(folder, vm, data_centre, platform);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fescuedrift"))
+            .arg("--settings")
+            .arg(settings)
+            .env_remove("FESCUE_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the router starts");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let stderr = child.stderr.take().expect("its log");
+        let kept = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                match serde_json::from_str(&line) {
+                    Ok(value) => kept.lock().push(value),
+                    Err(_) => eprintln!("{line}"),
+                }
+            }
+        });
+        eventually("the router listens", || async { listening(&log).is_some() }).await;
+        let listening = listening(&log).expect("it listens");
+        let address = |name: &str| {
+            let text = listening[name].as_str().expect("an address");
+            text.parse().expect("an address")
+        };
+        Self {
+            vm: vm.to_owned(),
+            data_centre: data_centre.to_owned(),
+            callers: address("callers"),
+            peers: address("peers"),
+            operators: address("operators"),
+            child,
+            log,
+        }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(id.expect("a process id"), signal).expect("the signal is sent");
+    }
+
+    /// Waits until the process has ended.
+    pub async fn wait(&mut self) -> ExitStatus {
+        loop {
+            if let Some(status) = self.child.try_wait().expect("it can be waited for") {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Returns the log lines with a message.
+    pub fn logged(&self, message: &str) -> Vec<Value> {
+        let log = self.log.lock();
+        log.iter()
+            .filter(|line| line["message"] == message)
+            .cloned()
+            .collect()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+    }
+}
+
+fn listening(log: &Mutex<Vec<Value>>) -> Option<Value> {
+    let log = log.lock();
+    log.iter()
+        .find(|line| line["message"] == "listening")
+        .cloned()
+}
+
+fn write_settings(folder: &Path, vm: &str, data_centre: &str, platform: SocketAddr) -> String {
+    let write = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).expect("the file is written");
+        path.display().to_string()
+    };
+    let operator = write("operator.token", OPERATOR);
+    let peer = write("peer.token", "peer-token");
+    let any = "127.0.0.1:0";
+    let settings = serde_json::json!({
+        "vm": vm,
+        "data_centre": data_centre,
+        "listen": {"callers": any, "peers": any, "operators": any},
+        "platform": {"address": platform, "timeout_ms": 400},
+        "operator_token_file": operator,
+        "peer_token_file": peer,
+        "limits": {"body_bytes": 65536, "receive_ms": 700, "max_tokens": 4096},
+        "pace": {
+            "allowance_ms": 50, "bills_ms": 100, "rules_ms": 50,
+            "heartbeat_ms": 50, "silence_ms": 1000, "linger_ms": 50,
+        },
+    });
+    write(&format!("{vm}.json"), &settings.to_string())
+}
