Size allowances by a horizon that a scarce budget bounds, and write only what changes

Cause: with a horizon of 600 s a router drew in every round once the bound was below half the target, and an exchange that drew nothing still wrote two rows. Change: the target itself is bounded by the router's part of what is free; an exchange without effect writes nothing; the last known free amount is planned with. The horizon is 600 s by default, so that a cut data centre goes on.

--- a/crates/core/src/rules/line.rs
+++ b/crates/core/src/rules/line.rs
@@ -211,7 +211,7 @@
     /// Returns the value where no rule sets one.
     pub const fn default_value(self) -> u64 {
         match self {
-            Self::AllowanceHorizon => 30,
+            Self::AllowanceHorizon => 600,
             Self::DrawShare => 10,
             Self::BulkCeiling => 90,
             Self::QueuePatience => 100,
--- a/crates/platform/src/accounts.rs
+++ b/crates/platform/src/accounts.rs
@@ -41,6 +41,15 @@
     pub returns: IndexMap<BudgetId, Parts>,
 }
 
+/// What an exchange brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Exchanged {
+    /// What was drawn of each budget.
+    pub drawn: IndexMap<BudgetId, Tokens>,
+    /// What each budget has free now, where that was read.
+    pub free: IndexMap<BudgetId, Tokens>,
+}
+
 impl Exchange {
     /// Returns whether there is nothing to ask.
     pub fn is_empty(&self) -> bool {
@@ -141,6 +150,7 @@
 
     /// Draws and gives back, once for each number, and returns what was drawn.
     ///
+    /// Nothing is written where nothing is drawn or given back.
     /// How much is drawn is left to `policy`, which sees what each budget has free.
     ///
     /// # Errors
@@ -152,7 +162,7 @@
         owner: Incarnation,
         ask: &Exchange,
         policy: &dyn Policy,
-    ) -> Result<IndexMap<BudgetId, Tokens>, TableError> {
+    ) -> Result<Exchanged, TableError> {
         let mut names = vec![keys::allowance(owner)];
         let returned = ask.returns.values().flat_map(Parts::iter);
         let origins: Vec<_> = returned.map(|part| part.origin).collect();
@@ -404,10 +414,14 @@
     ask: &Exchange,
     policy: &dyn Policy,
     rows: &[Row],
-) -> Result<Step<IndexMap<BudgetId, Tokens>>, TableError> {
+) -> Result<Step<Exchanged>, TableError> {
     let mut own = allowance(&rows[0], owner)?;
     if own.has_exchanged(ask.number) {
-        return Ok(Step::Done(own.exchange.drawn));
+        let drawn = own.exchange.drawn;
+        return Ok(Step::Done(Exchanged {
+            drawn,
+            ..Exchanged::default()
+        }));
     }
     let mut budgets = decode_budgets(rows)?;
     let mut others = IndexMap::new();
@@ -431,6 +445,12 @@
         wants.insert(id.clone(), policy.draw(&outlook));
     }
     let drawn = own.draw(owner, ask.number, &wants, &mut budgets)?;
+    let free = budgets.iter().map(|(id, budget)| (id.clone(), budget.free));
+    let free = free.collect();
+    let exchanged = Exchanged { drawn, free };
+    if ask.returns.is_empty() && exchanged.drawn.values().all(|drawn| drawn.is_zero()) {
+        return Ok(Step::Done(exchanged));
+    }
     let mut write = write_all(rows, &own, &budgets);
     for (origin, other) in &others {
         let key = keys::allowance(*origin);
@@ -438,7 +458,7 @@
             write.replace(row, other);
         }
     }
-    Ok(Step::Write(write, drawn))
+    Ok(Step::Write(write, exchanged))
 }
 
 fn other_row<'a>(
--- a/crates/policy/src/sizing.rs
+++ b/crates/policy/src/sizing.rs
@@ -16,9 +16,12 @@
 /// How much further ahead a router draws while the store looks unwell.
 const UNWELL_FACTOR: f64 = 4.0;
 
-/// The part of its target below which a draw ahead of need isn't worth a write. What is left then
-/// stays in the table for whoever needs it first.
-const LEAST_AHEAD: f64 = 0.05;
+/// The part of its target below which a router draws ahead again.
+const REFILL_BELOW: f64 = 0.5;
+
+/// A draw ahead of need that isn't worth a write. What is left then stays in the table for whoever
+/// needs it first.
+const LEAST_AHEAD: Tokens = Tokens::new(256);
 
 /// A moving average of the tokens asked for a second.
 #[derive(Clone, Copy, Debug, Default)]
@@ -112,12 +115,11 @@
 
 impl Policy for Horizon {
     fn draw(&self, outlook: &Outlook) -> Tokens {
-        let target = self.target(outlook);
-        let low = target.scale(0.5);
-        let wanted = target.saturating_sub(outlook.unspent);
-        let ahead = wanted.min(self.bound(outlook));
-        let enough = outlook.unspent >= low || ahead < target.scale(LEAST_AHEAD);
-        if outlook.needed.is_zero() && enough {
+        // A router holds no more than its part of a scarce budget, however far it looks ahead.
+        let target = self.target(outlook).min(self.bound(outlook));
+        let ahead = target.saturating_sub(outlook.unspent);
+        let enough = outlook.unspent >= target.scale(REFILL_BELOW);
+        if outlook.needed.is_zero() && (enough || ahead < LEAST_AHEAD) {
             return Tokens::ZERO;
         }
         outlook.needed.max(ahead)
--- a/crates/router/src/allowance/plan.rs
+++ b/crates/router/src/allowance/plan.rs
@@ -1,15 +1,26 @@
 //! What a round asks of the table, worked out from the blackboard.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
-use fescue_core::Tokens;
+use fescue_core::quantity::MAX_BUDGET;
 use fescue_core::rules::Setting;
+use fescue_core::{BudgetId, Tokens};
 use fescue_platform::accounts::Exchange;
 use fescue_policy::ledger::Ledger;
 use fescue_policy::sizing::{Horizon, Outlook, Policy};
 
 use crate::blackboard::Board;
 
+/// What earlier rounds showed of the table.
+#[derive(Debug, Default)]
+pub(super) struct Known {
+    /// What each budget had free when it was last read.
+    pub(super) free: HashMap<BudgetId, Tokens>,
+    /// Whether the table has been slow or failing of late.
+    pub(super) unwell: bool,
+}
+
 /// Returns how allowances are sized by the rules in force.
 pub(super) fn policy(board: &Board) -> Horizon {
     let book = board.book();
@@ -23,8 +34,7 @@
 /// Works out what to draw and what to give back.
 ///
 /// What is given back has left the ledger when this returns.
-pub(super) fn exchange(board: &Board, number: u64, unwell: bool) -> Exchange {
-    let policy = policy(board);
+pub(super) fn exchange(board: &Board, policy: &dyn Policy, known: &Known, number: u64) -> Exchange {
     let routers = board.members.lock().alive().count() as u32 + 1;
     let now = board.now();
     let mut needs = board.needs.lock();
@@ -40,9 +50,9 @@
             rate: need.demand.rate(now),
             unspent,
             needed: waiting.saturating_sub(unspent),
-            free: fescue_core::quantity::MAX_BUDGET,
+            free: known.free.get(budget).copied().unwrap_or(MAX_BUDGET),
             routers,
-            unwell,
+            unwell: known.unwell,
         };
         let idle = need.demand.is_idle(now) && waiting.is_zero();
         if !idle && !policy.draw(&outlook).is_zero() {
@@ -65,7 +75,7 @@
 }
 
 /// Returns what the ledger holds of a budget that no request has set aside.
-pub(super) fn unspent(ledger: &Ledger, budget: &fescue_core::BudgetId) -> Tokens {
+pub(super) fn unspent(ledger: &Ledger, budget: &BudgetId) -> Tokens {
     let purse = ledger.purse(budget);
     purse.map_or(Tokens::ZERO, |purse| purse.unspent())
 }
--- a/crates/router/src/allowance/round.rs
+++ b/crates/router/src/allowance/round.rs
@@ -9,7 +9,7 @@
 use fescue_platform::accounts::{Accounts, Exchange};
 use fescue_policy::account::AccountError;
 use fescue_policy::ledger::Parts;
-use fescue_policy::sizing::Outlook;
+use fescue_policy::sizing::{Outlook, Policy};
 use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
 
@@ -39,11 +39,13 @@
     board: Arc<Board>,
     accounts: Accounts,
     clearing: Clearing,
+    policy: Option<Arc<dyn Policy>>,
     taking: Taking,
     /// An exchange that may have taken effect; it is asked again before any other.
     pending: Option<Exchange>,
     /// What the last exchange drew less than waiting requests needed.
     short: HashMap<BudgetId, Tokens>,
+    known: plan::Known,
     exchanges: u64,
     unwell: u32,
     done: watch::Sender<u64>,
@@ -56,15 +58,28 @@
             board,
             accounts,
             clearing,
+            policy: None,
             taking: Taking::default(),
             pending: None,
             short: HashMap::new(),
+            known: plan::Known::default(),
             exchanges: 0,
             unwell: 0,
             done: watch::Sender::new(0),
         }
     }
 
+    /// Has allowances sized by `policy` instead of the rules in force.
+    pub fn sized_by(mut self, policy: Arc<dyn Policy>) -> Self {
+        self.policy = Some(policy);
+        self
+    }
+
+    fn policy(&self) -> Arc<dyn Policy> {
+        let by_rules = || Arc::new(plan::policy(&self.board));
+        self.policy.clone().unwrap_or_else(|| by_rules())
+    }
+
     /// Returns where the numbers of finished rounds can be followed.
     pub fn follow(&self) -> watch::Receiver<u64> {
         self.done.subscribe()
@@ -157,8 +172,10 @@
         {
             return Store::Silent;
         }
-        let unwell = self.unwell > 0;
-        let ask = plan::exchange(&self.board, self.exchanges + 1, unwell);
+        self.known.unwell = self.unwell > 0;
+        let policy = self.policy();
+        let number = self.exchanges + 1;
+        let ask = plan::exchange(&self.board, policy.as_ref(), &self.known, number);
         if ask.is_empty() {
             return Store::Answered;
         }
@@ -169,14 +186,15 @@
     async fn ask(&mut self, ask: Exchange) -> Store {
         self.exchanges = ask.number;
         let me = self.board.me.incarnation;
-        let policy = plan::policy(&self.board);
-        match self.accounts.exchange(me, &ask, &policy).await {
-            Ok(drawn) => {
+        let policy = self.policy();
+        match self.accounts.exchange(me, &ask, policy.as_ref()).await {
+            Ok(exchanged) => {
                 self.unwell = self.unwell.saturating_sub(1);
-                for (budget, amount) in &drawn {
+                for (budget, amount) in &exchanged.drawn {
                     self.credit(budget, me, *amount);
                 }
-                self.short = shortfalls(&ask, &drawn);
+                self.short = shortfalls(&ask, &exchanged.drawn);
+                self.known.free.extend(exchanged.free);
                 Store::Answered
             }
             Err(TableError::Refused(AccountError::Closed(_))) => {
--- a/crates/router/tests/suite/fleet.rs
+++ b/crates/router/tests/suite/fleet.rs
@@ -35,7 +35,6 @@
 pub const RULES: &str = "\
 team yard key=0000000000000000000000000000000000000000000000000000000000000000 # asked by Awa
 budget yard/main # asked by Awa
-setting allowance-horizon-s=10 # asked by Awa
 ";
 
 pub fn budget() -> BudgetId {
--- a/crates/router/tests/suite/fleet/node.rs
+++ b/crates/router/tests/suite/fleet/node.rs
@@ -14,6 +14,7 @@
 use fescue_platform::billing::Billing;
 use fescue_platform::config::Config;
 use fescue_policy::ledger::Reservation;
+use fescue_policy::sizing::Policy;
 use fescue_router::allowance::{Allowance, Clearing, Rounds};
 use fescue_router::billing::{Biller, Item};
 use fescue_router::blackboard::{Board, Member};
@@ -35,6 +36,7 @@
     pub answers: Arc<dyn Link>,
     allowance: Allowance,
     copying: AbortHandle,
+    table: Arc<dyn Table>,
 }
 
 fn settings(index: usize, data_centre: &str) -> Settings {
@@ -69,15 +71,25 @@
         Self {
             allowance: Allowance::open(Arc::clone(&board), rounds.follow()),
             closer: Closer::open(Arc::clone(&board), accounts, billing),
-            config: Controller::open(Arc::clone(&board), Config::open(table)),
+            config: Controller::open(Arc::clone(&board), Config::open(Arc::clone(&table))),
             answers: Arc::new(Answers::open(Arc::clone(&board), clearing)),
             copying: task.abort_handle(),
             rounds,
+            table,
             biller,
             board,
         }
     }
 
+    /// Has allowances sized by another policy, for comparison.
+    pub fn size_by(&mut self, policy: Arc<dyn Policy>) {
+        let accounts = Accounts::open(Arc::clone(&self.table));
+        let clearing = Clearing::open(Arc::clone(&self.board), accounts.clone());
+        let rounds = Rounds::open(Arc::clone(&self.board), accounts, clearing);
+        self.rounds = rounds.sized_by(policy);
+        self.allowance = Allowance::open(Arc::clone(&self.board), self.rounds.follow());
+    }
+
     pub fn stop_tasks(&self) {
         self.copying.abort();
     }
--- a/crates/router/tests/suite/fleet/wire.rs
+++ b/crates/router/tests/suite/fleet/wire.rs
@@ -24,6 +24,7 @@
     stores: BTreeSet<usize>,
     silent: BTreeSet<usize>,
     lose_peer_answers: u32,
+    no_hand_over: bool,
 }
 
 impl Faults {
@@ -57,6 +58,11 @@
         self.state.lock().lose_peer_answers = count;
     }
 
+    /// Has no router hand tokens over, for comparison.
+    pub fn forbid_hand_over(&self) {
+        self.state.lock().no_hand_over = true;
+    }
+
     /// Ends all faults.
     pub fn clear(&self) {
         *self.state.lock() = State::default();
@@ -160,6 +166,9 @@
 
     async fn take(&self, take: Take) -> Result<Parts, PeerError> {
         self.pass()?;
+        if self.faults.state.lock().no_hand_over {
+            return Ok(Parts::default());
+        }
         self.answer(self.link.take(take).await)
     }
 
--- a/crates/router/tests/suite/money_generated.rs
+++ b/crates/router/tests/suite/money_generated.rs
@@ -89,6 +89,7 @@
     /// Of these, those whose end was released with no copy of the bill elsewhere.
     exposed: BTreeSet<String>,
     counter: u64,
+    unhealed_death: bool,
 }
 
 /// What the stories of one run brought about, so that a generator that reaches nothing is noticed.
@@ -202,13 +203,20 @@
         Step::Thaw(node) => fleet.thaw(node),
         Step::Kill(node) => {
             // A second death before the first is made good is a story of its own.
-            fleet.heal().await;
+            if callers.unhealed_death {
+                fleet.heal().await;
+            }
+            callers.unhealed_death = true;
             callers.running.retain(|(at, ..)| *at != node);
             fleet.kill(node);
+            fleet.thaw(node);
             fleet.pass(3).await;
             fleet.restart(node, PLACES[node]).await;
         }
-        Step::Heal => fleet.heal().await,
+        Step::Heal => {
+            fleet.heal().await;
+            callers.unhealed_death = false;
+        }
     }
 }
 
--- a/crates/router/tests/suite/money_stories.rs
+++ b/crates/router/tests/suite/money_stories.rs
@@ -349,3 +349,24 @@
     fleet.check().await;
     assert_eq!(fleet.bills().await.values().sum::<u64>(), 1000);
 }
+
+/// A request runs twice: the second bill's tokens can be spent again, to the last one.
+#[tokio::test(start_paused = true)]
+async fn duplicate_bill_gives_its_tokens_back() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2"]).await;
+    fleet.top_up("first", 200).await.expect("the store is up");
+    for index in 0..2 {
+        let held = fleet.node(index).reserve(100).await.expect("it is covered");
+        fleet.node(index).finish(held, "r-1", 100).await;
+        fleet.node(index).biller.flush().await;
+    }
+    let last = fleet
+        .node(0)
+        .reserve(100)
+        .await
+        .expect("100 were billed once");
+    fleet.node(0).finish(last, "r-2", 100).await;
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.values().sum::<u64>(), 200);
+}
