Look at a few upstreams for each placement and keep teams in order of service

Cause: a placement scored all upstreams of the model and an admission looked at all teams, several times each. Change: owners come from a hash ring, with two drawn at random; closed ones are passed over by a few more looks; teams that wait are kept in an ordered set. The ring replaces rendezvous hashing, whose cost is one hash an upstream.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -1,19 +1,22 @@
 //! Which upstream gets a request.
 //!
 //! A few candidates are compared by expected wait, prefill left after the cached prefix, and the
-//! trip: the owners of the prompt's prefix by rendezvous hashing, so that equal prefixes meet, and
-//! two at random, so that no owner is overrun.
+//! trip: the owners of the prompt's prefix on a [`Ring`], so that equal prefixes meet, and two at
+//! random, so that no owner is overrun. Only those few are looked at, so that the cost of a decision
+//! hardly grows with the number of upstreams. See
+//! [docs/design/service.md](../../../docs/design/service.md).
+
+mod ring;
+
+pub use ring::Ring;
 
 use std::time::Duration;
 
-use fescue_core::hash;
 use rand::Rng;
 
 /// An upstream that could take a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
-    /// A number that names it on every router, such as a hash of its name.
-    pub member: u64,
     /// How long a request would wait there.
     pub wait: Duration,
     /// The prefill that is left there, after what it has cached of the prompt.
@@ -27,20 +30,43 @@
 }
 
 impl Candidate {
+    /// A candidate that takes nothing.
+    pub const CLOSED: Self = Self {
+        wait: Duration::ZERO,
+        prefill: Duration::ZERO,
+        trip: Duration::ZERO,
+        load: 0.0,
+        open: false,
+    };
+
     /// Returns the expected time to the first token.
     pub fn cost(&self) -> Duration {
         self.wait + self.prefill + self.trip
     }
 }
 
+/// The upstreams that could take a request, looked at one by one.
+pub trait Field {
+    /// Returns how many there are.
+    fn len(&self) -> usize;
+
+    /// Weighs one.
+    fn candidate(&self, index: usize) -> Candidate;
+
+    /// Returns whether there are none.
+    fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
 /// Why an upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
     /// It is an owner of the prompt's prefix.
     Prefix,
-    /// It was the better of two.
+    /// It was the better of those drawn at random.
     Load,
-    /// No other was open.
+    /// It was the only one found open.
     Only,
 }
 
@@ -55,15 +81,24 @@
     }
 }
 
-/// The upstream that was chosen, by its place among the candidates.
+/// One of the upstreams that were compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its place in the field.
+    pub index: usize,
+    /// The expected time to the first token there.
+    pub cost: Duration,
+}
+
+/// The upstream that was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Choice {
     /// The chosen one.
-    pub index: usize,
+    pub place: Place,
     /// Why.
     pub why: Why,
     /// The next best that was compared.
-    pub next: Option<usize>,
+    pub next: Option<Place>,
 }
 
 /// How many owners of a prefix are compared.
@@ -72,54 +107,91 @@
 /// How many others are compared.
 const RANDOM: usize = 2;
 
-/// An owner with this many times the mean load is passed over.
+/// How many upstreams are looked at for each that is compared, when some are closed.
+const PROBES: usize = 4;
+
+/// An owner with this many times the load of those drawn at random is passed over.
 const LOAD_BOUND: f64 = 1.25;
 
-/// Chooses among `candidates` for a prompt whose prefix hashes to `prefix`.
+/// A load that is never too high for an owner, so that an idle field keeps its prefixes together.
+const IDLE_LOAD: f64 = 0.5;
+
+struct Compared {
+    place: Place,
+    why: Why,
+    load: f64,
+}
+
+/// Chooses an upstream of `field` for a prompt whose prefix hashes to `prefix`.
 ///
 /// Returns `None` when none is open.
-pub fn choose(rng: &mut impl Rng, prefix: u64, candidates: &[Candidate]) -> Option<Choice> {
-    let mut open = 0_usize;
-    let mut load = 0.0;
-    let mut owners: [Option<(u64, usize)>; OWNERS] = [None; OWNERS];
-    for (index, candidate) in candidates.iter().enumerate().filter(|(_, c)| c.open) {
-        open += 1;
-        load += candidate.load;
-        let score = hash::score(prefix, candidate.member);
-        insert(&mut owners, (score, index));
-    }
-    if open == 0 {
+pub fn choose(rng: &mut impl Rng, prefix: u64, ring: &Ring, field: &impl Field) -> Option<Choice> {
+    let mut compared: Vec<Compared> = Vec::with_capacity(OWNERS + RANDOM);
+    if field.is_empty() {
         return None;
     }
-    let bound = (load / open as f64).max(0.5) * LOAD_BOUND;
-    let fits = |index: &usize| candidates[*index].load <= bound;
-    let owners = owners.iter().flatten().map(|(_, index)| *index);
-    let mut compared: Vec<_> = owners.filter(fits).map(|i| (i, Why::Prefix)).collect();
-    for _ in 0..RANDOM {
-        let index = pick_open(rng, candidates, open);
-        if !compared.iter().any(|(other, _)| *other == index) {
-            compared.push((index, Why::Load));
+    for _ in 0..RANDOM * PROBES {
+        let index = rng.random_range(0..field.len());
+        look(field, index, Why::Load, &mut compared);
+        if compared.len() == RANDOM {
+            break;
         }
     }
-    compared.sort_by_key(|(index, _)| candidates[*index].cost());
-    let (index, why) = compared[0];
-    let why = if open == 1 { Why::Only } else { why };
-    let next = compared.get(1).map(|(index, _)| *index);
-    Some(Choice { index, why, next })
+    let loads: f64 = compared.iter().map(|c| c.load).sum();
+    let mean = loads / compared.len().max(1) as f64;
+    let bound = mean.max(IDLE_LOAD) * LOAD_BOUND;
+    let drawn = compared.len();
+    for index in ring.owners(prefix).take(OWNERS * PROBES) {
+        look(field, index, Why::Prefix, &mut compared);
+        if compared
+            .last()
+            .is_some_and(|c| c.why == Why::Prefix && c.load > bound)
+        {
+            compared.pop();
+        }
+        if compared.len() == drawn + OWNERS {
+            break;
+        }
+    }
+    if compared.is_empty() {
+        return scan(rng, field);
+    }
+    compared.sort_by_key(|c| (c.place.cost, c.why == Why::Load));
+    Some(Choice {
+        place: compared[0].place,
+        why: compared[0].why,
+        next: compared.get(1).map(|c| c.place),
+    })
 }
 
-fn insert(owners: &mut [Option<(u64, usize)>; OWNERS], new: (u64, usize)) {
-    let mut new = Some(new);
-    for owner in owners {
-        if *owner < new {
-            std::mem::swap(owner, &mut new);
-        }
+/// Adds an upstream to those compared, if it is open and new.
+fn look(field: &impl Field, index: usize, why: Why, compared: &mut Vec<Compared>) {
+    if let Some(known) = compared.iter_mut().find(|c| c.place.index == index) {
+        // One that was drawn at random and is an owner too counts as an owner.
+        known.why = why;
+        return;
+    }
+    let candidate = field.candidate(index);
+    if !candidate.open {
+        return;
     }
+    let cost = candidate.cost();
+    compared.push(Compared {
+        place: Place { index, cost },
+        why,
+        load: candidate.load,
+    });
 }
 
-fn pick_open(rng: &mut impl Rng, candidates: &[Candidate], open: usize) -> usize {
-    let skip = rng.random_range(0..open);
-    let open = candidates.iter().enumerate().filter(|(_, c)| c.open);
-    let picked = open.map(|(index, _)| index).nth(skip);
-    picked.unwrap_or(0)
+/// Looks at all upstreams from a random one on and takes the first that is open.
+fn scan(rng: &mut impl Rng, field: &impl Field) -> Option<Choice> {
+    let start = rng.random_range(0..field.len());
+    let mut order = (start..field.len()).chain(0..start);
+    let index = order.find(|index| field.candidate(*index).open)?;
+    let cost = field.candidate(index).cost();
+    Some(Choice {
+        place: Place { index, cost },
+        why: Why::Only,
+        next: None,
+    })
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -85,8 +85,9 @@
     }
 
     /// Takes out a request whose caller went or whose deadline passed.
-    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
-        self.classes.iter_mut().find_map(|c| c.remove(ticket))
+    pub fn remove(&mut self, team: &TeamId, ticket: Ticket) -> Option<Waiting> {
+        let mut classes = self.classes.iter_mut();
+        classes.find_map(|class| class.remove(team, ticket))
     }
 
     /// Takes out the requests whose deadline has passed.
--- a/crates/policy/src/queue/class.rs
+++ b/crates/policy/src/queue/class.rs
@@ -1,6 +1,6 @@
 //! The waiting requests of one priority, fair between teams.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use fescue_core::{TeamId, Tokens};
@@ -8,77 +8,109 @@
 
 use super::{Ticket, Waiting};
 
-/// One team's waiting requests and what it was served.
+/// How many parts of a token service is counted in, so that weights divide it finely.
+const PARTS: u64 = 1 << 10;
+
+/// How many requests are served between two looks for teams that can be forgotten.
+const FORGET_EVERY: u64 = 1024;
+
+/// One team's waiting requests and what it was served, in parts of a token for its weight.
 #[derive(Clone, Debug, Default)]
 struct Lane {
     waiting: VecDeque<Waiting>,
-    served: f64,
+    served: u64,
 }
 
 /// The requests of one priority.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Class {
     lanes: IndexMap<TeamId, Lane>,
-    /// The least service of any team when one was last served; a team that comes back starts here.
-    floor: f64,
+    /// The teams with requests waiting, the least served first.
+    busy: BTreeSet<(u64, TeamId)>,
+    /// The service of the team that was last served; a team that comes back starts here.
+    floor: u64,
     len: usize,
+    pops: u64,
+    /// No request's deadline is before this.
+    earliest: Option<Duration>,
 }
 
 impl Class {
     pub(super) fn push(&mut self, waiting: Waiting) {
+        let team = waiting.team.clone();
+        let deadline = waiting.deadline;
+        self.earliest = Some(self.earliest.map_or(deadline, |e| e.min(deadline)));
         self.len += 1;
-        if !self.lanes.contains_key(&waiting.team) {
-            self.lanes.insert(waiting.team.clone(), Lane::default());
+        if !self.lanes.contains_key(&team) {
+            self.lanes.insert(team.clone(), Lane::default());
         }
-        let lane = &mut self.lanes[&waiting.team];
+        let lane = &mut self.lanes[&team];
         if lane.waiting.is_empty() {
             lane.served = lane.served.max(self.floor);
+            self.busy.insert((lane.served, team));
         }
         lane.waiting.push_back(waiting);
     }
 
     /// Takes the oldest request of the team that was served least for its weight.
     pub(super) fn pop(&mut self) -> Option<Waiting> {
-        let index = self.least()?;
-        let lane = &mut self.lanes[index];
+        let (served, team) = self.busy.pop_first()?;
+        let lane = self.lanes.get_mut(&team)?;
         let waiting = lane.waiting.pop_front()?;
-        self.floor = lane.served;
-        lane.served += waiting.cost.get() as f64 / f64::from(waiting.weight.get());
-        self.forget_one();
+        self.floor = served;
+        let cost = waiting.cost.get().saturating_mul(PARTS);
+        let cost = cost / u64::from(waiting.weight.get());
+        lane.served = served.saturating_add(cost);
+        if !lane.waiting.is_empty() {
+            self.busy.insert((lane.served, team));
+        }
+        self.len -= 1;
+        self.forget();
         Some(waiting)
     }
 
     /// Returns the cost of the request that comes next.
     pub(super) fn next_cost(&self) -> Option<Tokens> {
-        let lane = &self.lanes[self.least()?];
-        lane.waiting.front().map(|waiting| waiting.cost)
+        let (_, team) = self.busy.first()?;
+        let waiting = &self.lanes.get(team)?.waiting;
+        waiting.front().map(|waiting| waiting.cost)
     }
 
-    pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
-        let waiting = self.lanes.values_mut().find_map(|lane| {
-            let at = lane.waiting.iter().position(|w| w.ticket == ticket)?;
-            lane.waiting.remove(at)
-        })?;
-        self.forget_one();
+    pub(super) fn remove(&mut self, team: &TeamId, ticket: Ticket) -> Option<Waiting> {
+        let lane = self.lanes.get_mut(team)?;
+        let at = lane.waiting.iter().position(|w| w.ticket == ticket)?;
+        let waiting = lane.waiting.remove(at)?;
+        if lane.waiting.is_empty() {
+            self.busy.remove(&(lane.served, team.clone()));
+        }
+        self.len -= 1;
         Some(waiting)
     }
 
     pub(super) fn expire(&mut self, now: Duration) -> Vec<Waiting> {
-        let late = |w: &&Waiting| w.deadline <= now;
-        let lanes = self.lanes.values();
-        let tickets = lanes.flat_map(|lane| lane.waiting.iter().filter(late));
-        let tickets: Vec<_> = tickets.map(|waiting| waiting.ticket).collect();
-        tickets.into_iter().filter_map(|t| self.remove(t)).collect()
+        if self.earliest.is_none_or(|earliest| now < earliest) {
+            return Vec::new();
+        }
+        let all = self.lanes.values().flat_map(|lane| &lane.waiting);
+        let (late, rest): (Vec<&Waiting>, Vec<_>) = all.partition(|w| w.deadline <= now);
+        self.earliest = rest.iter().map(|w| w.deadline).min();
+        let late: Vec<_> = late.iter().map(|w| (w.team.clone(), w.ticket)).collect();
+        let late = late.iter();
+        late.filter_map(|(team, ticket)| self.remove(team, *ticket))
+            .collect()
     }
 
     /// Returns how many requests come before a new one of a team.
     pub(super) fn ahead(&self, team: &TeamId) -> usize {
         let own = self.lanes.get(team).map_or(0, |lane| lane.waiting.len());
+        if own == 0 {
+            return self.busy.len();
+        }
         let turns = self
             .lanes
             .values()
             .map(|lane| lane.waiting.len().min(own + 1));
-        turns.sum::<usize>().saturating_sub(usize::from(own > 0))
+        turns.sum::<usize>().saturating_sub(1)
     }
 
     pub(super) fn len(&self) -> usize {
@@ -89,18 +121,13 @@
         self.len == 0
     }
 
-    fn least(&self) -> Option<usize> {
-        let lanes = self.lanes.values().enumerate();
-        let busy = lanes.filter(|(_, lane)| !lane.waiting.is_empty());
-        let least = busy.min_by(|(_, a), (_, b)| a.served.total_cmp(&b.served));
-        least.map(|(index, _)| index)
-    }
-
-    fn forget_one(&mut self) {
-        self.len -= 1;
-        let floor = self.floor;
-        // A team with nothing waiting that was not served beyond the floor needs no memory.
-        self.lanes
-            .retain(|_, lane| !lane.waiting.is_empty() || lane.served > floor);
+    /// Forgets the teams with nothing waiting that were not served beyond the floor.
+    fn forget(&mut self) {
+        self.pops += 1;
+        if self.pops.is_multiple_of(FORGET_EVERY) {
+            let floor = self.floor;
+            self.lanes
+                .retain(|_, lane| !lane.waiting.is_empty() || lane.served > floor);
+        }
     }
 }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -93,7 +93,11 @@
         }
     }
     let book = board.book();
-    board.upstreams.lock().take_rules(&book);
-    board.pools.lock().take_rules(&book);
+    {
+        let mut pools = board.pools.lock();
+        let mut upstreams = board.upstreams.lock();
+        upstreams.take_rules(&book);
+        pools.take_rules(&book, &upstreams);
+    }
     board.capacity.notify_one();
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! There is one queue for each model and each plain service. A single task grants capacity, so
 //! that the order is the one that [`fescue_policy::queue`] decides.
 
+mod lane;
 mod pools;
 
 pub use pools::{Job, Pool, Pools};
@@ -12,7 +13,7 @@
 
 use fescue_core::outcome::Reason;
 use fescue_core::rules::Upstream;
-use fescue_core::{Refusal, UpstreamId};
+use fescue_core::{Refusal, TeamId};
 use fescue_policy::queue::Ticket;
 use tokio::sync::oneshot;
 
@@ -70,12 +71,14 @@
 struct Place {
     board: Arc<Board>,
     pool: Pool,
+    team: TeamId,
     ticket: Ticket,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.board.pools.lock().leave(&self.pool, self.ticket);
+        let mut pools = self.board.pools.lock();
+        pools.leave(&self.pool, &self.team, self.ticket);
     }
 }
 
@@ -87,15 +90,19 @@
 pub async fn acquire(board: &Arc<Board>, pool: &Pool, job: Job) -> Result<Permit, Refusal> {
     let now = board.now();
     let ticket = Ticket(board.next_number());
+    let team = job.team.clone();
     let (sender, granted) = oneshot::channel();
     {
         let mut pools = board.pools.lock();
         let upstreams = board.upstreams.lock();
-        pools.push(pool, ticket, job, sender, &upstreams, now)?;
+        let since = now;
+        let entry = pools::Entry { job, sender, since };
+        pools.push(pool, ticket, entry, &upstreams)?;
     }
     let place = Place {
         board: Arc::clone(board),
         pool: pool.clone(),
+        team,
         ticket,
     };
     board.capacity.notify_one();
@@ -140,8 +147,3 @@
         let _gone = grant.sender.send(Ok(permit));
     }
 }
-
-/// Names the upstreams of a pool.
-pub(crate) fn names(upstreams: &[Arc<Upstream>]) -> impl Iterator<Item = &UpstreamId> {
-    upstreams.iter().map(|upstream| &upstream.name)
-}
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -1,25 +1,22 @@
 //! The queues, one for each model and plain service.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::outcome::Reason;
 use fescue_core::rules::{Book, Setting, Upstream};
 use fescue_core::{
     DataCentreId, ModelId, Priority, Refusal, RequestId, ServiceId, TeamId, Tokens, UpstreamId,
-    Weight, hash,
+    Weight,
 };
-use fescue_policy::placement::{self, Candidate, Choice};
-use fescue_policy::queue::{Queue, Shares, Ticket, Waiting};
-use fescue_policy::retry;
+use fescue_policy::queue::Ticket;
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
 
-use super::{Permit, names};
+use super::Permit;
+use super::lane::{Lane, View};
 use crate::upstream::Upstreams;
 
 /// The target of a priority that has no rule.
@@ -68,19 +65,13 @@
     pub patience: Option<Duration>,
 }
 
-type Sender = oneshot::Sender<Result<Permit, Refusal>>;
+pub(super) type Sender = oneshot::Sender<Result<Permit, Refusal>>;
 
-struct Entry {
-    job: Job,
-    sender: Sender,
-    since: Duration,
-}
-
-/// One queue.
-struct Lane {
-    queue: Queue,
-    entries: HashMap<Ticket, Entry>,
-    upstreams: Vec<Arc<Upstream>>,
+/// A request that waits.
+pub(super) struct Entry {
+    pub(super) job: Job,
+    pub(super) sender: Sender,
+    pub(super) since: Duration,
 }
 
 /// A granted request.
@@ -107,13 +98,11 @@
 }
 
 impl Pools {
-    /// Takes over the rules in force.
-    pub fn take_rules(&mut self, book: &Arc<Book>) {
+    /// Takes over the rules in force, which `upstreams` has taken over before.
+    pub fn take_rules(&mut self, book: &Arc<Book>, upstreams: &Upstreams) {
         self.book = Arc::clone(book);
-        let shares = shares(book);
         for (pool, lane) in &mut self.lanes {
-            lane.queue.set_shares(shares);
-            lane.upstreams = serving(book, pool);
+            lane.take_rules(book, pool, upstreams);
         }
     }
 
@@ -122,54 +111,29 @@
         &mut self,
         pool: &Pool,
         ticket: Ticket,
-        job: Job,
-        sender: Sender,
+        entry: Entry,
         upstreams: &Upstreams,
-        now: Duration,
     ) -> Result<(), Refusal> {
-        let patience = self.patience(&job);
-        let lane = self.lane(pool);
-        if lane.upstreams.is_empty() {
-            let message = format!("no upstream serves {pool}");
-            return Err(Refusal::not_run(Reason::NotFound, message));
-        }
-        let ahead = lane.queue.ahead(job.priority, &job.team);
-        let rate = upstreams.service_rate(names(&lane.upstreams));
-        let wait = retry::expected_wait(ahead, rate);
-        if wait > patience {
-            let message = format!("{ahead} requests wait before this one");
-            let refusal = Refusal::not_run(Reason::Overload, message);
-            return Err(refusal.after(retry::pause(wait)));
+        let patience = self.patience(&entry.job);
+        if !self.lanes.contains_key(pool) {
+            let lane = Lane::open(&self.book, pool, upstreams);
+            self.lanes.insert(pool.clone(), lane);
         }
-        lane.queue.push(Waiting {
-            ticket,
-            priority: job.priority,
-            team: job.team.clone(),
-            weight: job.weight,
-            cost: job.cost,
-            deadline: now + patience,
-        });
-        let since = now;
-        let entry = Entry { job, sender, since };
-        lane.entries.insert(ticket, entry);
-        Ok(())
+        self.lanes[pool].push(pool, ticket, entry, patience, upstreams)
     }
 
     /// Takes out a request whose caller went.
-    pub(super) fn leave(&mut self, pool: &Pool, ticket: Ticket) {
+    pub(super) fn leave(&mut self, pool: &Pool, team: &TeamId, ticket: Ticket) {
         if let Some(lane) = self.lanes.get_mut(pool) {
-            lane.queue.remove(ticket);
-            lane.entries.remove(&ticket);
+            lane.leave(team, ticket);
         }
     }
 
     /// Refuses the requests whose time is over.
     pub(super) fn expire(&mut self, now: Duration, refusal: impl Fn() -> Refusal) {
         for lane in self.lanes.values_mut() {
-            for waiting in lane.queue.expire(now) {
-                if let Some(entry) = lane.entries.remove(&waiting.ticket) {
-                    let _gone = entry.sender.send(Err(refusal()));
-                }
+            for entry in lane.expire(now) {
+                let _gone = entry.sender.send(Err(refusal()));
             }
         }
     }
@@ -181,10 +145,16 @@
         near: &DataCentreId,
         now: Duration,
     ) -> Vec<Grant> {
-        let ceiling = self.book.setting(Setting::BulkCeiling);
+        let mut view = View {
+            upstreams,
+            near,
+            now,
+            ceiling: self.book.setting(Setting::BulkCeiling),
+            dice: &mut self.dice,
+        };
         let mut grants = Vec::new();
         for (pool, lane) in &mut self.lanes {
-            while let Some(grant) = lane.next(pool, upstreams, near, now, ceiling, &mut self.dice) {
+            while let Some(grant) = lane.next(pool, &mut view) {
                 grants.push(grant);
             }
         }
@@ -195,7 +165,7 @@
     pub fn waiting(&self) -> Vec<(String, usize)> {
         let lanes = self.lanes.iter();
         lanes
-            .map(|(pool, lane)| (pool.to_string(), lane.queue.len()))
+            .map(|(pool, lane)| (pool.to_string(), lane.waiting()))
             .collect()
     }
 
@@ -206,137 +176,4 @@
         let patience = target * percent / 100;
         job.patience.map_or(patience, |most| patience.min(most))
     }
-
-    fn lane(&mut self, pool: &Pool) -> &mut Lane {
-        if !self.lanes.contains_key(pool) {
-            let lane = Lane {
-                queue: Queue::open(shares(&self.book)),
-                entries: HashMap::new(),
-                upstreams: serving(&self.book, pool),
-            };
-            self.lanes.insert(pool.clone(), lane);
-        }
-        &mut self.lanes[pool]
-    }
-}
-
-impl Lane {
-    /// Grants the next request, if an upstream is open.
-    fn next(
-        &mut self,
-        pool: &Pool,
-        upstreams: &mut Upstreams,
-        near: &DataCentreId,
-        now: Duration,
-        ceiling: u64,
-        dice: &mut SmallRng,
-    ) -> Option<Grant> {
-        if self.queue.is_empty() {
-            return None;
-        }
-        let any = |c: &Candidate| c.open;
-        if !self.candidates(upstreams, near, 0, 0, now).iter().any(any) {
-            return None;
-        }
-        let bulk = upstreams.any_open_to_bulk(names(&self.upstreams), ceiling);
-        let waiting = self.queue.pop(|p| p != Priority::Bulk || bulk)?;
-        let entry = self.entries.remove(&waiting.ticket)?;
-        let job = &entry.job;
-        let mut candidates = self.candidates(upstreams, near, job.prefix, job.prompt, now);
-        self.narrow(job, upstreams, &mut candidates);
-        let Some(choice) = placement::choose(dice, job.prefix, &candidates) else {
-            // Only the upstream that it is confined to would do, and that one is not open.
-            self.entries.insert(waiting.ticket, entry);
-            self.queue.push(waiting);
-            return None;
-        };
-        let upstream = Arc::clone(&self.upstreams[choice.index]);
-        upstreams.start(&upstream.name, job.prefix);
-        self.log(pool, &entry, &choice, &candidates, now);
-        let sender = entry.sender;
-        Some(Grant { upstream, sender })
-    }
-
-    fn candidates(
-        &self,
-        upstreams: &Upstreams,
-        near: &DataCentreId,
-        prefix: u64,
-        prompt: u64,
-        now: Duration,
-    ) -> Vec<Candidate> {
-        let states = self.upstreams.iter().map(|rule| upstreams.get(&rule.name));
-        let closed = Candidate {
-            member: 0,
-            wait: Duration::ZERO,
-            prefill: Duration::ZERO,
-            trip: Duration::ZERO,
-            load: 0.0,
-            open: false,
-        };
-        let weigh = |state: Option<&crate::upstream::State>| {
-            state.map_or(closed, |state| state.candidate(near, prefix, prompt, now))
-        };
-        states.map(weigh).collect()
-    }
-
-    /// Closes the candidates that a request must not or should not go to.
-    fn narrow(&self, job: &Job, upstreams: &Upstreams, candidates: &mut [Candidate]) {
-        if let Some(fingerprint) = job.confine {
-            let up = |index: usize| {
-                let state = upstreams.get(&self.upstreams[index].name);
-                state.is_some_and(|state| state.is_up())
-            };
-            let up = candidates.iter().enumerate().filter(|(i, _)| up(*i));
-            let place = up.max_by_key(|(_, c)| hash::score(fingerprint, c.member));
-            let place = place.map(|(index, _)| index);
-            for (index, candidate) in candidates.iter_mut().enumerate() {
-                candidate.open &= Some(index) == place;
-            }
-            return;
-        }
-        let avoided = |index: usize| job.avoid.contains(&self.upstreams[index].name);
-        let mut open = candidates.iter().enumerate().filter(|(_, c)| c.open);
-        if open.any(|(index, _)| !avoided(index)) {
-            for (index, candidate) in candidates.iter_mut().enumerate() {
-                candidate.open &= !avoided(index);
-            }
-        }
-    }
-
-    fn log(&self, pool: &Pool, entry: &Entry, choice: &Choice, costs: &[Candidate], now: Duration) {
-        let name = |index: usize| self.upstreams[index].name.as_str();
-        let job = &entry.job;
-        tracing::info!(
-            target: "decision",
-            request = %job.request,
-            team = %job.team,
-            priority = %job.priority,
-            pool = %pool,
-            upstream = name(choice.index),
-            why = choice.why.as_str(),
-            cost_us = costs[choice.index].cost().as_micros() as u64,
-            next = choice.next.map(name),
-            next_cost_us = choice.next.map(|index| costs[index].cost().as_micros() as u64),
-            open = costs.iter().filter(|c| c.open).count(),
-            waited_ms = now.saturating_sub(entry.since).as_millis() as u64,
-            "placed"
-        );
-    }
-}
-
-fn shares(book: &Book) -> Shares {
-    let mut shares = Shares::default();
-    for (priority, rule) in &book.priorities {
-        shares.0[priority.index()] = rule.share;
-    }
-    shares
-}
-
-fn serving(book: &Book, pool: &Pool) -> Vec<Arc<Upstream>> {
-    let arcs = |upstream: &Upstream| Arc::new(upstream.clone());
-    match pool {
-        Pool::Model(model) => book.serving(model).map(arcs).collect(),
-        Pool::Service(service) => book.providing(service).map(arcs).collect(),
-    }
 }
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the number that every router has for the upstream.
+    pub fn member(&self) -> u64 {
+        self.member
+    }
+
     /// Returns the upstream's rule.
     pub fn rule(&self) -> &Arc<Upstream> {
         &self.rule
@@ -110,7 +115,6 @@
             TRIP
         };
         Candidate {
-            member: self.member,
             wait,
             prefill: PREFILL_TOKEN * left as u32,
             trip,
@@ -119,7 +123,8 @@
         }
     }
 
-    fn is_open(&self, now: Duration) -> bool {
+    /// Returns whether it may get one more request now.
+    pub fn is_open(&self, now: Duration) -> bool {
         let allowed = self.limit.allows(self.own, &self.occupancy);
         allowed && self.is_up() && self.breaker.allows(now)
     }
@@ -130,7 +135,7 @@
     }
 
     /// Returns whether it would still be open to bulk work, which may use `ceiling` percent.
-    fn is_open_to_bulk(&self, ceiling: u64) -> bool {
+    pub fn is_open_to_bulk(&self, ceiling: u64) -> bool {
         let slots = u64::from(self.limit.slots());
         let there = self.occupancy.estimate().max(self.own);
         u64::from(there) < (slots * ceiling).div_ceil(100)
@@ -208,28 +213,26 @@
         self.states.get(name)
     }
 
+    /// Returns where an upstream is kept, until the rules change.
+    pub fn index_of(&self, name: &UpstreamId) -> Option<usize> {
+        self.states.get_index_of(name)
+    }
+
+    /// Returns the upstream that is kept at a place.
+    pub fn at(&self, index: usize) -> Option<&State> {
+        self.states.get_index(index).map(|(_, state)| state)
+    }
+
     /// Returns all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &State> {
         self.states.values()
     }
 
-    /// Returns whether any of some upstreams is open to bulk work.
-    pub fn any_open_to_bulk<'a>(
-        &self,
-        mut names: impl Iterator<Item = &'a UpstreamId>,
-        ceiling: u64,
-    ) -> bool {
-        names.any(|name| {
-            let state = self.states.get(name);
-            state.is_some_and(|state| state.is_open_to_bulk(ceiling))
-        })
-    }
-
     /// Returns how many requests a second this router's part of some upstreams can serve.
-    pub fn service_rate<'a>(&self, names: impl Iterator<Item = &'a UpstreamId>) -> f64 {
-        let up = names.filter_map(|name| self.states.get(name).filter(|s| s.is_up()));
+    pub fn service_rate(&self, places: &[usize]) -> f64 {
+        let up = places.iter().filter_map(|index| self.at(*index));
         let rate = |s: &State| f64::from(s.limit.part()) / s.mean.as_secs_f64().max(LEAST_MEAN);
-        up.map(rate).sum()
+        up.filter(|state| state.is_up()).map(rate).sum()
     }
 
     /// Notes that a request goes to an upstream.
