Keep 59,000 budgets' rules small and cheap to change, and measure control

Cause: one changed line cloned and checked every rule; a start read every change ever made; a router that lagged could not be helped by a peer that had trimmed.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -13,7 +13,9 @@
 pub use line::{Budget, Key, Line, PriorityRule, Rule, Service, Setting, Team, Upstream};
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
+use imbl::{OrdMap, OrdSet};
 use indexmap::IndexMap;
 
 use crate::id::{BudgetId, ModelId, ServiceId, TeamId, UpstreamId};
@@ -21,23 +23,26 @@
 use crate::report::{Fault, Report};
 
 /// All rules of one fleet, by kind.
+///
+/// A changed book shares what didn't change with the one that it was made from, since a fleet has
+/// tens of thousands of budgets and thousands of changes a day.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Book {
     /// The lines as written, by what they are about.
-    pub lines: IndexMap<Key, Line>,
+    pub lines: OrdMap<Key, Arc<Line>>,
     /// The teams.
-    pub teams: IndexMap<TeamId, Team>,
+    pub teams: Arc<IndexMap<TeamId, Team>>,
     /// The budgets.
-    pub budgets: IndexMap<BudgetId, Budget>,
+    pub budgets: OrdSet<BudgetId>,
     /// The priorities.
     pub priorities: IndexMap<Priority, PriorityRule>,
     /// The upstreams.
-    pub upstreams: IndexMap<UpstreamId, Upstream>,
+    pub upstreams: Arc<IndexMap<UpstreamId, Upstream>>,
     /// The plain services.
-    pub services: IndexMap<ServiceId, Service>,
+    pub services: Arc<IndexMap<ServiceId, Service>>,
     /// The fleet's settings, by which deployments differ.
     pub settings: IndexMap<Setting, u64>,
-    teams_by_key: HashMap<String, TeamId>,
+    teams_by_key: Arc<HashMap<String, TeamId>>,
 }
 
 impl Book {
@@ -47,7 +52,7 @@
     ///
     /// All faults of the text at once, each with its line and column.
     pub fn parse(name: &str, text: &str) -> Result<Self, Box<Report>> {
-        let mut lines = IndexMap::new();
+        let mut book = Self::default();
         let mut faults = Vec::new();
         let mut places = HashMap::new();
         let mut start = 0;
@@ -56,22 +61,17 @@
                 Ok(None) => {}
                 Ok(Some(line)) => {
                     let key = line.rule.key();
-                    let twice = places.insert(key.clone(), start).is_some();
-                    if twice {
-                        faults.push(Fault::new(
-                            start,
-                            raw.trim_end().len(),
-                            format!("{key} has a line already"),
-                        ));
+                    if places.insert(key.clone(), start).is_some() {
+                        let message = format!("{key} has a line already");
+                        faults.push(Fault::new(start, raw.trim_end().len(), message));
                     }
-                    lines.insert(key, line);
+                    book.insert(key, line);
                 }
                 Err(fault) => faults.push(fault.shift(start)),
             }
             start += raw.len();
         }
-        let book = Self::from_lines(lines);
-        for (key, message) in check::faults(&book) {
+        for (key, message) in check::all(&book) {
             let at = places.get(&key).copied().unwrap_or(0);
             faults.push(Fault::new(at, key.kind().len(), message));
         }
@@ -84,24 +84,32 @@
     ///
     /// The faults that the changed book would have; it is refused as a whole.
     pub fn with(&self, delta: &Delta) -> Result<Self, Box<Report>> {
-        let mut lines = self.lines.clone();
+        let mut book = self.clone();
         for key in &delta.removed {
-            lines.shift_remove(key);
+            book.remove(key);
         }
         let text = delta.lines.join("\n");
         let mut faults = Vec::new();
+        let mut changed = Vec::new();
         for raw in &delta.lines {
             match Line::parse(raw) {
                 Ok(Some(line)) => {
-                    lines.insert(line.rule.key(), line);
+                    let key = line.rule.key();
+                    changed.push(key.clone());
+                    book.insert(key, line);
                 }
                 Ok(None) => {}
                 Err(fault) => faults.push(fault),
             }
         }
-        let book = Self::from_lines(lines);
-        let whole = check::faults(&book).into_iter();
-        faults.extend(whole.map(|(_, message)| Fault::new(0, 0, message)));
+        let found = if delta.removed.is_empty() {
+            check::some(&book, &changed)
+        } else {
+            // What goes may be named by any other rule.
+            check::all(&book)
+        };
+        let found = found.into_iter();
+        faults.extend(found.map(|(key, message)| Fault::new(0, 0, format!("{key}: {message}"))));
         book.unless("change", &text, faults)
     }
 
@@ -143,37 +151,69 @@
         Err(Report::new(name, "rules", text, faults))
     }
 
-    fn from_lines(lines: IndexMap<Key, Line>) -> Self {
-        let mut book = Self::default();
-        for line in lines.values() {
-            book.add(&line.rule);
-        }
-        book.lines = lines;
-        book
-    }
-
-    fn add(&mut self, rule: &Rule) {
-        match rule.clone() {
+    fn insert(&mut self, key: Key, line: Line) {
+        match line.rule.clone() {
             Rule::Team(team) => {
-                self.teams_by_key
-                    .insert(team.key.clone(), team.name.clone());
-                self.teams.insert(team.name.clone(), team);
+                self.forget_key(&team.name);
+                let by_key = Arc::make_mut(&mut self.teams_by_key);
+                by_key.insert(team.key.clone(), team.name.clone());
+                Arc::make_mut(&mut self.teams).insert(team.name.clone(), *team);
             }
             Rule::Budget(budget) => {
-                self.budgets.insert(budget.name.clone(), budget);
+                self.budgets.insert(budget.name);
             }
             Rule::Priority(rule) => {
                 self.priorities.insert(rule.name, rule);
             }
             Rule::Upstream(upstream) => {
-                self.upstreams.insert(upstream.name.clone(), upstream);
+                Arc::make_mut(&mut self.upstreams).insert(upstream.name.clone(), *upstream);
             }
             Rule::Service(service) => {
-                self.services.insert(service.name.clone(), service);
+                Arc::make_mut(&mut self.services).insert(service.name.clone(), service);
             }
             Rule::Setting(setting, value) => {
                 self.settings.insert(setting, value);
             }
         }
+        self.lines.insert(key, Arc::new(line));
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let Some(line) = self.lines.remove(key) else {
+            return;
+        };
+        match &line.rule {
+            Rule::Team(team) => {
+                self.forget_key(&team.name);
+                Arc::make_mut(&mut self.teams).shift_remove(&team.name);
+            }
+            Rule::Budget(budget) => {
+                self.budgets.remove(&budget.name);
+            }
+            Rule::Priority(rule) => {
+                self.priorities.shift_remove(&rule.name);
+            }
+            Rule::Upstream(upstream) => {
+                Arc::make_mut(&mut self.upstreams).shift_remove(&upstream.name);
+            }
+            Rule::Service(service) => {
+                Arc::make_mut(&mut self.services).shift_remove(&service.name);
+            }
+            Rule::Setting(setting, _) => {
+                self.settings.shift_remove(setting);
+            }
+        }
+    }
+
+    /// Forgets a team's key, which no longer opens anything once the rule is changed.
+    fn forget_key(&mut self, name: &TeamId) {
+        let Some(team) = self.teams.get(name) else {
+            return;
+        };
+        let by_key = Arc::make_mut(&mut self.teams_by_key);
+        // Another team may have been given the same key, which is a fault of its own.
+        if by_key.get(&team.key) == Some(name) {
+            by_key.remove(&team.key);
+        }
     }
 }
--- a/crates/core/src/rules/check.rs
+++ b/crates/core/src/rules/check.rs
@@ -3,22 +3,33 @@
 use super::{Book, Key, Rule};
 
 /// Returns the faults of a whole book, with the rule that each is about.
-pub(super) fn faults(book: &Book) -> Vec<(Key, String)> {
-    let mut faults = Vec::new();
-    for line in book.lines.values() {
-        let message = fault(book, &line.rule);
-        faults.extend(message.map(|m| (line.rule.key(), m)));
-    }
-    let shares: u32 = book.priorities.values().map(|p| p.share).sum();
-    if shares > 100 {
-        let last = book.priorities.values().next_back();
-        let key = last.map(|rule| Rule::Priority(rule.clone()).key());
-        let message = format!("the shares add up to {shares} percent");
-        faults.extend(key.map(|key| (key, message)));
-    }
+pub(super) fn all(book: &Book) -> Vec<(Key, String)> {
+    let lines = book.lines.values();
+    let mut faults: Vec<_> = lines.filter_map(|line| about(book, &line.rule)).collect();
+    faults.extend(shares(book));
+    faults
+}
+
+/// Returns the faults that changing some rules brought.
+pub(super) fn some(book: &Book, changed: &[Key]) -> Vec<(Key, String)> {
+    let lines = changed.iter().filter_map(|key| book.lines.get(key));
+    let mut faults: Vec<_> = lines.filter_map(|line| about(book, &line.rule)).collect();
+    faults.extend(shares(book));
     faults
 }
 
+fn about(book: &Book, rule: &Rule) -> Option<(Key, String)> {
+    fault(book, rule).map(|message| (rule.key(), message))
+}
+
+fn shares(book: &Book) -> Option<(Key, String)> {
+    let shares: u32 = book.priorities.values().map(|p| p.share).sum();
+    let last = book.priorities.values().next_back()?;
+    let key = Rule::Priority(last.clone()).key();
+    let message = format!("the shares add up to {shares} percent");
+    (shares > 100).then_some((key, message))
+}
+
 fn fault(book: &Book, rule: &Rule) -> Option<String> {
     match rule {
         Rule::Team(team) => {
--- a/crates/core/src/rules/line.rs
+++ b/crates/core/src/rules/line.rs
@@ -58,7 +58,9 @@
 }
 
 /// What a rule is about; two rules with the same key can't both be in force.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct Key {
     kind: &'static str,
     name: String,
@@ -98,13 +100,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Rule {
     /// A team.
-    Team(Team),
+    Team(Box<Team>),
     /// A budget.
     Budget(Budget),
     /// A priority's share and target.
     Priority(PriorityRule),
     /// An upstream.
-    Upstream(Upstream),
+    Upstream(Box<Upstream>),
     /// A plain service.
     Service(Service),
     /// A fleet-wide setting.
@@ -242,12 +244,12 @@
         let mut fields = Fields::split(text);
         let (at, kind) = fields.word("a rule")?;
         let rule = match kind {
-            "team" => Self::Team(team(&mut fields)?),
+            "team" => Self::Team(Box::new(team(&mut fields)?)),
             "budget" => Self::Budget(Budget {
                 name: fields.name("a budget, TEAM/NAME")?,
             }),
             "priority" => Self::Priority(priority(&mut fields)?),
-            "upstream" => Self::Upstream(upstream(&mut fields)?),
+            "upstream" => Self::Upstream(Box::new(upstream(&mut fields)?)),
             "service" => Self::Service(service(&mut fields)?),
             "setting" => setting(&mut fields)?,
             _ => {
--- /dev/null
+++ b/crates/core/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Checks of names, rules and settings.
+
+mod rules;
+mod settings;
--- /dev/null
+++ b/crates/core/tests/suite/settings.rs
@@ -0,0 +1,38 @@
+//! The settings' checks.
+
+use fescue_core::settings::Settings;
+
+const GOOD: &str = r#"{
+  "vm": "vm-1", "data_centre": "dakar-1",
+  "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
+  "platform": {"address": "127.0.0.1:4"},
+  "operator_token_file": "operator.token", "peer_token_file": "peer.token"
+}"#;
+
+#[test]
+fn good_settings_take_defaults() {
+    let settings = Settings::parse("good.json", GOOD).expect("it is good");
+    assert_eq!(settings.limits.body_bytes, 1 << 20);
+    assert!(settings.log.json);
+}
+
+#[test]
+fn all_faults_are_reported_with_their_places() {
+    let text = GOOD
+        .replace("\"vm-1\"", "\"vm 1\"")
+        .replace("127.0.0.1:2", "localhost:2")
+        .replace("\"peer_token_file\"", "\"peer_token\"")
+        .replace("}\n}", "}, \"pace\": {\"bills_ms\": 0, \"bils_ms\": 5}\n}");
+    let text = text.replace(
+        "\"data_centre\": \"dakar-1\",",
+        "\"pace\": {\"bills_ms\": 0, \"x\": 5},",
+    );
+    let report = Settings::parse("bad.json", &text).expect_err("it is full of faults");
+    insta::assert_snapshot!(report.to_string());
+}
+
+#[test]
+fn broken_json_names_the_place() {
+    let report = Settings::parse("broken.json", "{\n  \"vm\": \n}").expect_err("it is broken");
+    assert!(report.to_string().contains("line 3, column 1"), "{report}");
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,12 +1,13 @@
 //! The rules in the table: a version that only rises, and one row for each change.
 
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 
+use fescue_core::report::Report;
 use fescue_core::rules::{Book, Delta};
 use fescue_core::{ChangeId, record};
 
 use crate::table::scan_after;
-use crate::{Commit, Table, TableError, Transaction, keys};
+use crate::{Commit, Objects, Table, TableError, Transaction, keys};
 
 /// How often a change is tried again after a lost answer.
 const TRIES: u32 = 4;
@@ -29,6 +30,17 @@
         pub author: String,
         /// What differs.
         pub delta: Delta,
+        /// Whether `delta` holds all rules as of this version, for who lags far behind.
+        #[serde(default)]
+        pub whole: bool,
+    }
+
+    /// Where all rules as of a version are kept.
+    pub struct Snapshot {
+        /// The version.
+        pub version: u64,
+        /// The object with all lines.
+        pub object: String,
     }
 }
 
@@ -43,16 +55,48 @@
     Invalid(String),
 }
 
+impl Change {
+    /// Makes one change of all rules of a version.
+    pub fn whole(version: u64, book: &Book) -> Self {
+        Self {
+            version,
+            id: WHOLE.clone(),
+            author: "fescuedrift".to_owned(),
+            delta: Delta::between(&Book::default(), book),
+            whole: true,
+        }
+    }
+
+    /// Applies the change to the rules of an earlier version.
+    ///
+    /// # Errors
+    ///
+    /// The faults that the rules would have.
+    pub fn apply(&self, book: &Book) -> Result<Book, Box<Report>> {
+        if self.whole {
+            return Book::default().with(&self.delta);
+        }
+        book.with(&self.delta)
+    }
+}
+
+/// How many changes lie between two snapshots.
+const SNAPSHOT_EVERY: u64 = 256;
+
+/// The id of a change that holds all rules.
+static WHOLE: LazyLock<ChangeId> = LazyLock::new(|| "whole".parse().expect("a plain name"));
+
 /// The rules in the table.
 #[derive(Clone)]
 pub struct Config {
     table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
 }
 
 impl Config {
-    /// Opens the rules that are kept in `table`.
-    pub fn open(table: Arc<dyn Table>) -> Self {
-        Self { table }
+    /// Opens the rules that are kept in `table`, their snapshots in `objects`.
+    pub fn open(table: Arc<dyn Table>, objects: Arc<dyn Objects>) -> Self {
+        Self { table, objects }
     }
 
     /// Returns the version in force.
@@ -66,12 +110,45 @@
         Ok(head.version)
     }
 
-    /// Returns the changes after a version, in order.
+    /// Returns the changes after a version, in order, or one of all rules and those after it.
     ///
     /// # Errors
     ///
     /// When the store can't be reached.
     pub async fn since(&self, version: u64) -> Result<Vec<Change>, TableError> {
+        let rows = self.table.read(&[keys::RULES_SNAPSHOT.to_owned()]).await?;
+        let snapshot: Option<Snapshot> = rows[0].decode()?;
+        let Some(snapshot) = snapshot.filter(|s| s.version > version + SNAPSHOT_EVERY) else {
+            return self.after(version).await;
+        };
+        let Some(text) = self.objects.get(&snapshot.object).await? else {
+            return self.after(version).await;
+        };
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let book = Book::parse(&snapshot.object, &text);
+        let bad = |e: Box<_>| TableError::Corrupt(snapshot.object.clone(), format!("{e}"));
+        let mut changes = vec![Change::whole(snapshot.version, &book.map_err(bad)?)];
+        changes.extend(self.after(snapshot.version).await?);
+        Ok(changes)
+    }
+
+    /// Keeps all rules of a version as an object, so that who starts needn't read every change.
+    async fn keep_snapshot(&self, version: u64, book: &Book) -> Result<(), TableError> {
+        let object = format!("rules-{version}");
+        self.objects
+            .put(&object, book.to_text().into_bytes())
+            .await?;
+        let rows = self.table.read(&[keys::RULES_SNAPSHOT.to_owned()]).await?;
+        let known: Option<Snapshot> = rows[0].decode()?;
+        if known.is_some_and(|known| known.version >= version) {
+            return Ok(());
+        }
+        let mut write = Transaction::default();
+        write.replace(&rows[0], &Snapshot { version, object });
+        self.table.transact(&write).await.map(drop)
+    }
+
+    async fn after(&self, version: u64) -> Result<Vec<Change>, TableError> {
         let after = keys::change(version);
         let rows = scan_after(self.table.as_ref(), keys::CHANGES, &after).await?;
         let changes = rows.iter().filter_map(|row| row.decode().transpose());
@@ -88,7 +165,7 @@
         let mut version = 0;
         for change in self.since(0).await? {
             let bad = |e: Box<_>| TableError::Corrupt(keys::change(change.version), format!("{e}"));
-            book = book.with(&change.delta).map_err(bad)?;
+            book = change.apply(&book).map_err(bad)?;
             version = change.version;
         }
         Ok((version, book))
@@ -139,16 +216,17 @@
         if head.version != version {
             return Ok(None);
         }
-        let others = self.since(base).await?;
+        let others = self.after(base).await?;
         let touched: Vec<_> = delta.keys().collect();
         let clash = |change: &Change| change.delta.keys().any(|key| touched.contains(&key));
         let lost: Vec<_> = others.into_iter().filter(clash).collect();
         if !lost.is_empty() {
             return Ok(Some(Applied::Lost(lost)));
         }
-        if let Err(report) = book.with(delta) {
-            return Ok(Some(Applied::Invalid(report.to_string())));
-        }
+        let changed = match book.with(delta) {
+            Ok(changed) => changed,
+            Err(report) => return Ok(Some(Applied::Invalid(report.to_string()))),
+        };
         let head = Head {
             version: version + 1,
         };
@@ -157,13 +235,20 @@
             id: id.clone(),
             author: author.to_owned(),
             delta: delta.clone(),
+            whole: false,
         };
         let mut write = Transaction::default();
         write.replace(&rows[0], &head);
         write.replace(&rows[1], &head);
         write.replace(&crate::Row::absent(keys::change(head.version)), &change);
         match self.table.transact(&write).await? {
-            Commit::Done => Ok(Some(Applied::Version(head.version))),
+            Commit::Done => {
+                if head.version.is_multiple_of(SNAPSHOT_EVERY) {
+                    // A snapshot that fails costs time at a start, nothing else.
+                    let _kept = self.keep_snapshot(head.version, &changed).await;
+                }
+                Ok(Some(Applied::Version(head.version)))
+            }
             Commit::Conflict => Ok(None),
         }
     }
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -17,6 +17,9 @@
 /// The row with the version of the rules in force.
 pub const RULES_HEAD: &str = "rules/head";
 
+/// The row that names the newest snapshot of the rules.
+pub const RULES_SNAPSHOT: &str = "rules/snapshot";
+
 /// Names the row of a budget.
 pub fn budget(id: &BudgetId) -> String {
     format!("{BUDGETS}{id}")
--- a/crates/router/src/admin/budgets.rs
+++ b/crates/router/src/admin/budgets.rs
@@ -78,7 +78,7 @@
     Json(ask): Json<TopUp>,
 ) -> Answer {
     let id = budget(&team, &name)?;
-    if !admin.board.book().budgets.contains_key(&id) {
+    if !admin.board.book().budgets.contains(&id) {
         return Err(Problem::missing(format!("no rule names a budget {id}")));
     }
     let row = admin
--- a/crates/router/src/blackboard/rules.rs
+++ b/crates/router/src/blackboard/rules.rs
@@ -1,5 +1,6 @@
 //! The rules in force, with the changes that led there for peers that lag behind.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use fescue_core::Incarnation;
@@ -7,12 +8,16 @@
 use fescue_core::rules::Book;
 use fescue_platform::config::Change;
 
+/// The most changes that are kept for peers.
+const MOST_CHANGES: usize = 1024;
+
 /// The rules in force on this router.
 #[derive(Debug, Default)]
 pub struct Rules {
     version: u64,
     book: Arc<Book>,
-    changes: Vec<Change>,
+    /// The last changes, without a gap up to the version in force.
+    changes: VecDeque<Change>,
     newest: Option<(Incarnation, u64)>,
 }
 
@@ -52,8 +57,12 @@
         self.newest
     }
 
-    /// Returns the changes after a version.
+    /// Returns the changes after a version, or one of all rules where some are kept no more.
     pub fn since(&self, version: u64) -> Vec<Change> {
+        let oldest = self.changes.front().map_or(self.version + 1, |c| c.version);
+        if version + 1 < oldest && version < self.version {
+            return vec![Change::whole(self.version, &self.book)];
+        }
         let newer = self.changes.iter().filter(|c| c.version > version);
         newer.cloned().collect()
     }
@@ -63,15 +72,22 @@
         if change.version <= self.version {
             return Taken::Old;
         }
-        if change.version != self.version + 1 {
+        if !change.whole && change.version != self.version + 1 {
             return Taken::Gap;
         }
-        match self.book.with(&change.delta) {
+        match change.apply(&self.book) {
             Err(report) => Taken::Invalid(report),
             Ok(book) => {
                 self.version = change.version;
                 self.book = Arc::new(book);
-                self.changes.push(change);
+                if change.whole {
+                    self.changes.clear();
+                } else {
+                    self.changes.push_back(change);
+                }
+                if self.changes.len() > MOST_CHANGES {
+                    self.changes.pop_front();
+                }
                 Taken::InForce
             }
         }
--- a/crates/router/src/front/caller.rs
+++ b/crates/router/src/front/caller.rs
@@ -82,7 +82,7 @@
 fn budget(board: &Board, team: &Team, headers: &HeaderMap) -> Result<BudgetId, Refusal> {
     let name = text(headers, BUDGET)?.unwrap_or(BudgetId::DEFAULT_NAME);
     let budget = BudgetId::new(&team.name, name).map_err(bad)?;
-    if board.book().budgets.contains_key(&budget) {
+    if board.book().budgets.contains(&budget) {
         return Ok(budget);
     }
     let message = format!("there is no budget {budget}");
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -185,7 +185,7 @@
     pub fn take_rules(&mut self, book: &Book) {
         self.states
             .retain(|name, _| book.upstreams.contains_key(name));
-        for (name, rule) in &book.upstreams {
+        for (name, rule) in book.upstreams.iter() {
             let known = self.states.get_mut(name);
             let moved = known
                 .as_ref()
--- a/crates/router/tests/suite/fleet.rs
+++ b/crates/router/tests/suite/fleet.rs
@@ -49,7 +49,8 @@
         let book = Book::parse("rules", RULES).expect("the rules parse");
         let delta = Delta::between(&Book::default(), &book);
         let id = "founding".parse().expect("a change id");
-        let applied = Config::open(table).apply(&id, 0, "Awa", &delta).await;
+        let config = Config::open(table, memory.clone());
+        let applied = config.apply(&id, 0, "Awa", &delta).await;
         applied.expect("the rules are in force");
         let mut fleet = Self {
             memory,
@@ -70,7 +71,13 @@
         self.starts += 1;
         let incarnation = Incarnation::new(self.starts * 100 + index as u64);
         let port = Port::open(self.memory.clone(), Arc::clone(&self.faults), index);
-        Node::open(index, data_centre, incarnation, Arc::new(port))
+        Node::open(
+            index,
+            data_centre,
+            incarnation,
+            Arc::new(port),
+            self.memory.clone(),
+        )
     }
 
     /// Starts a router anew in the place of one that was killed.
--- a/crates/router/tests/suite/fleet/node.rs
+++ b/crates/router/tests/suite/fleet/node.rs
@@ -9,10 +9,10 @@
 use fescue_core::settings::Settings;
 use fescue_core::{Incarnation, Refusal, Tokens};
 use fescue_peer::Link;
-use fescue_platform::Table;
 use fescue_platform::accounts::Accounts;
 use fescue_platform::billing::Billing;
 use fescue_platform::config::Config;
+use fescue_platform::{Objects, Table};
 use fescue_policy::ledger::Reservation;
 use fescue_policy::sizing::Policy;
 use fescue_router::allowance::{Allowance, Clearing, Rounds};
@@ -59,6 +59,7 @@
         data_centre: &str,
         incarnation: Incarnation,
         table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
     ) -> Self {
         let board = Board::open(settings(index, data_centre), incarnation);
         let accounts = Accounts::open(Arc::clone(&table));
@@ -71,7 +72,10 @@
         Self {
             allowance: Allowance::open(Arc::clone(&board), rounds.follow()),
             closer: Closer::open(Arc::clone(&board), accounts, billing),
-            config: Controller::open(Arc::clone(&board), Config::open(Arc::clone(&table))),
+            config: Controller::open(
+                Arc::clone(&board),
+                Config::open(Arc::clone(&table), objects),
+            ),
             answers: Arc::new(Answers::open(Arc::clone(&board), clearing)),
             copying: task.abort_handle(),
             rounds,
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -8,4 +8,5 @@
 mod process_input;
 mod process_service;
 mod process_stops;
+mod rules_in_force;
 mod site;
--- a/crates/router/tests/suite/process_stops.rs
+++ b/crates/router/tests/suite/process_stops.rs
@@ -116,7 +116,7 @@
 #[tokio::test]
 async fn rules_race_has_one_winner_and_never_reverts() {
     let site = Site::start(&["dakar-1", "dakar-2"], 1, QUICK).await;
-    let config = Config::open(site.memory.clone());
+    let config = Config::open(site.memory.clone(), site.memory.clone());
     let (base, old) = config.load().await.expect("the store is up");
     let change = |weight: u32| {
         let text = site
--- /dev/null
+++ b/crates/router/tests/suite/rules_in_force.rs
@@ -0,0 +1,84 @@
+//! Rules rise and never go back, through restarts, outages and long absences.
+
+use fescue_core::rules::Delta;
+use fescue_platform::config::{Applied, Change, Config};
+use fescue_router::blackboard::{Rules, Taken};
+
+use crate::fleet::Fleet;
+
+fn weight(weight: u32) -> Delta {
+    let key = "0".repeat(64);
+    let line = format!("team yard key={key} weight={weight} # asked by Awa");
+    Delta {
+        lines: vec![line],
+        removed: Vec::new(),
+    }
+}
+
+async fn change(fleet: &Fleet, number: u32) -> u64 {
+    let config = Config::open(fleet.memory.clone(), fleet.memory.clone());
+    let id = format!("c-{number}").parse().expect("a change id");
+    let base = config.version().await.expect("the store is up");
+    let applied = config
+        .apply(&id, base, "Awa", &weight(1 + number % 100))
+        .await;
+    match applied {
+        Ok(Applied::Version(version)) => version,
+        other => panic!("the change isn't in force: {other:?}"),
+    }
+}
+
+/// A router that starts while the store is down gets the rules from a peer.
+#[tokio::test(start_paused = true)]
+async fn start_with_store_down_takes_rules_from_a_peer() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2"]).await;
+    let version = change(&fleet, 1).await;
+    fleet.node(0).config.round().await;
+    fleet.set_outage(true);
+    fleet.kill(1);
+    fleet.restart(1, "dakar-2").await;
+    assert_eq!(fleet.node(1).board.rules.lock().version(), version);
+}
+
+/// A router that was cut off for hundreds of changes gets all rules at once, also from a peer.
+#[tokio::test(start_paused = true)]
+async fn long_absence_is_made_good_at_once() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2"]).await;
+    let mut version = 0;
+    for number in 0..600 {
+        version = change(&fleet, number).await;
+    }
+    fleet.node(0).config.round().await;
+    assert_eq!(fleet.node(0).board.rules.lock().version(), version);
+    fleet.faults.cut_store(1);
+    fleet.beat();
+    fleet.node(1).config.round().await;
+    let second = fleet.node(1).board.clone();
+    assert_eq!(second.rules.lock().version(), version);
+    assert_eq!(second.book(), fleet.node(0).board.book());
+}
+
+/// A change that comes late, from the table or a peer, never takes an older version back.
+#[test]
+fn late_change_never_reverts() {
+    let mut rules = Rules::default();
+    let change = |version, to| Change {
+        version,
+        id: format!("c-{version}").parse().expect("a change id"),
+        author: "Awa".to_owned(),
+        delta: weight(to),
+        whole: false,
+    };
+    assert!(matches!(rules.take(change(1, 5)), Taken::InForce));
+    assert!(matches!(rules.take(change(3, 7)), Taken::Gap));
+    assert!(matches!(rules.take(change(2, 6)), Taken::InForce));
+    assert!(matches!(rules.take(change(1, 5)), Taken::Old));
+    let whole = Change {
+        whole: true,
+        ..change(1, 9)
+    };
+    assert!(matches!(rules.take(whole), Taken::Old));
+    let book = rules.book();
+    let team = book.teams.values().next().expect("the team");
+    assert_eq!(team.weight.get(), 6);
+}
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -128,7 +128,7 @@
 
     /// Puts a text in force and returns its version.
     pub async fn apply_rules(&self, id: &str, text: &str) -> u64 {
-        let config = Config::open(self.memory.clone());
+        let config = Config::open(self.memory.clone(), self.memory.clone());
         let (version, old) = config.load().await.expect("the rules can be read");
         let new = Book::parse("rules", text).expect("the rules parse");
         let delta = Delta::between(&old, &new);
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Request;
@@ -140,6 +141,20 @@
     ///
     /// When the connection breaks before the answer is whole.
     pub async fn ask(&self, to: SocketAddr, ask: &Ask) -> Result<Answer, NoAnswer> {
+        self.ask_timed(to, ask).await.map(|(answer, _)| answer)
+    }
+
+    /// Sends a request and also returns the time to the first part of its answer's body.
+    ///
+    /// # Errors
+    ///
+    /// When the connection breaks before the answer is whole.
+    pub async fn ask_timed(
+        &self,
+        to: SocketAddr,
+        ask: &Ask,
+    ) -> Result<(Answer, Duration), NoAnswer> {
+        let start = Instant::now();
         let failed = |e: &dyn fmt::Display| NoAnswer(e.to_string());
         let mut request = Request::builder()
             .method(ask.method.as_str())
@@ -161,13 +176,21 @@
         let outcome = response.headers().get("x-fescue-outcome");
         let outcome = outcome.and_then(|v| v.to_str().ok()).unwrap_or("-");
         let outcome = outcome.to_owned();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|e| failed(&e))?.to_bytes();
+        let mut incoming = response.into_body();
+        let (mut body, mut first) = (Vec::new(), None);
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|e| failed(&e))?;
+            first = first.or_else(|| Some(start.elapsed()));
+            if let Ok(data) = frame.into_data() {
+                body.extend_from_slice(&data);
+            }
+        }
         let body = String::from_utf8_lossy(&body).into_owned();
-        Ok(Answer {
+        let answer = Answer {
             status,
             outcome,
             body,
-        })
+        };
+        Ok((answer, first.unwrap_or_default()))
     }
 }
