--- a/crates/router/src/admin/budgets.rs
+++ b/crates/router/src/admin/budgets.rs
@@ -78,7 +78,9 @@
     Json(ask): Json<TopUp>,
 ) -> Answer {
     let id = budget(&team, &name)?;
-    if !admin.board.book().budgets.contains(&id) {
+    let known = admin.board.book().budgets.contains(&id);
+    // Rules that were applied a moment ago may not be in force here yet.
+    if !known && !admin.config.load().await?.1.budgets.contains(&id) {
         return Err(Problem::missing(format!("no rule names a budget {id}")));
     }
     let row = admin
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -12,7 +12,10 @@
 use crate::secrets::Secret;
 
 /// How many peers get a heartbeat in one round, however many there are.
-const FAN_OUT: usize = 8;
+const FAN_OUT: usize = 4;
+
+/// How many peers hear at once of what can't wait, such as a request that crashed an upstream.
+const NEWS_FAN_OUT: usize = 16;
 
 /// How many rounds pass between two looks at the platform's list.
 const LIST_ROUNDS: u64 = 4;
@@ -44,24 +47,26 @@
     /// Sends heartbeats at the pace of the settings.
     pub async fn run(&mut self) {
         let news = Arc::clone(&self.news);
+        let mut fan_out = FAN_OUT;
         loop {
-            self.round().await;
+            self.round(fan_out).await;
+            fan_out = FAN_OUT;
             let pause = tokio::time::sleep(self.board.settings.pace.heartbeat);
             tokio::select! {
                 () = pause => {}
-                () = news.notified() => {}
+                () = news.notified() => fan_out = NEWS_FAN_OUT,
             }
         }
     }
 
-    /// Sends one round of heartbeats.
-    pub async fn round(&mut self) {
+    /// Sends one round of heartbeats to `fan_out` peers.
+    pub async fn round(&mut self, fan_out: usize) {
         if self.rounds.is_multiple_of(LIST_ROUNDS) {
             self.list().await;
         }
         self.rounds += 1;
         self.advance();
-        let peers = self.next_peers();
+        let peers = self.next_peers(fan_out);
         let beats = peers.iter().map(|link| beat(&self.board, link));
         join_all(beats).await;
         self.advance();
@@ -105,15 +110,15 @@
         members.advance(self.board.now(), silence.max(reach * 3));
     }
 
-    fn next_peers(&mut self) -> Vec<Arc<dyn Link>> {
+    fn next_peers(&mut self, fan_out: usize) -> Vec<Arc<dyn Link>> {
         let members = self.board.members.lock();
         let links: Vec<_> = members.all().map(|m| Arc::clone(&m.link)).collect();
-        if links.len() <= FAN_OUT {
+        if links.len() <= fan_out {
             return links;
         }
         let start = self.next % links.len();
-        self.next = (start + FAN_OUT) % links.len();
-        let chosen = links.iter().cycle().skip(start).take(FAN_OUT);
+        self.next = (start + fan_out) % links.len();
+        let chosen = links.iter().cycle().skip(start).take(fan_out);
         chosen.cloned().collect()
     }
 }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod money_figures;
 mod money_generated;
 mod money_stories;
+mod process_admin;
 mod process_calls;
 mod process_input;
 mod process_service;
--- a/crates/router/tests/suite/process_calls.rs
+++ b/crates/router/tests/suite/process_calls.rs
@@ -113,7 +113,7 @@
         .rules()
         .replace(&address.to_string(), &nowhere.to_string());
     let version = site.apply_rules("moved", &moved).await;
-    wait_for_version(&site, version).await;
+    site.wait_for_version(version).await;
     let first = site.ask(0, &purchase("buy-1")).await;
     assert_eq!(
         (first.code().as_str(), first.outcome.as_str()),
@@ -121,7 +121,7 @@
     );
     let back = site.rules();
     let version = site.apply_rules("back", &back).await;
-    wait_for_version(&site, version).await;
+    site.wait_for_version(version).await;
     eventually("the claim is withdrawn and the call runs", || async {
         site.ask(1, &purchase("buy-1")).await.status == 200
     })
@@ -196,12 +196,3 @@
     }
     assert_eq!(runs(&site, "buy-1"), 1);
 }
-
-async fn wait_for_version(site: &Site, version: u64) {
-    for index in 0..site.routers.len() {
-        eventually("the rules are in force", || async {
-            site.status(index).await["rules"].as_u64() == Some(version)
-        })
-        .await;
-    }
-}
--- a/crates/router/tests/suite/process_input.rs
+++ b/crates/router/tests/suite/process_input.rs
@@ -7,6 +7,8 @@
 use fescue_standin::caller::Ask;
 use serde_json::json;
 
+use fescue_standin::engine::Profile;
+
 use crate::site::{KEY, QUICK, Site, chat};
 
 fn body(change: impl FnOnce(&mut serde_json::Value)) -> Ask {
@@ -152,21 +154,76 @@
 }
 
 #[tokio::test]
-async fn reused_id_with_another_prompt_is_refused_everywhere() {
-    let site = Site::start(&["dakar-1", "dakar-2"], 1, QUICK).await;
+async fn reused_id_with_another_prompt_is_refused() {
+    let site = Site::start(&["dakar-1"], 1, QUICK).await;
     site.ask(0, &chat("r-1", "a fair price", 5)).await;
-    let local = site.ask(0, &chat("r-1", "another", 5)).await;
-    assert_eq!((local.status, local.outcome.as_str()), (409, "not_run"));
-    site.wait_for_bills(1).await;
+    let other = site.ask(0, &chat("r-1", "another", 5)).await;
+    let found = (other.status, other.code(), other.outcome);
+    assert_eq!(
+        found,
+        (409, "request_id_reused".to_owned(), "not_run".to_owned())
+    );
+    assert_eq!(site.wait_for_bills(1).await.len(), 1);
 }
 
 #[tokio::test]
 async fn empty_budget_is_refused_as_not_run() {
     let site = Site::start(&["dakar-1"], 1, QUICK).await;
     let rules = format!("{}budget yard/empty # asked by Awa\n", site.rules());
-    site.apply_rules("empty", &rules).await;
-    let answer = site.ask(0, &chat("r-1", &"long ".repeat(10), 4096)).await;
-    assert_eq!(answer.status, 200);
+    let version = site.apply_rules("empty", &rules).await;
+    site.wait_for_version(version).await;
+    let answer = site.ask(0, &chat("r-1", "a", 5).with_budget("empty")).await;
+    let found = (answer.status, answer.code(), answer.outcome);
+    assert_eq!(
+        found,
+        (402, "budget_exhausted".to_owned(), "not_run".to_owned())
+    );
+    let unknown = site
+        .ask(0, &chat("r-2", "a", 5).with_budget("nonesuch"))
+        .await;
+    assert_eq!((unknown.status, unknown.outcome.as_str()), (404, "not_run"));
+    assert_eq!(site.engines[0].0.load().started, 0);
+}
+
+#[tokio::test]
+async fn overload_is_refused_early_as_not_run() {
+    let narrow = Profile {
+        slots: 1,
+        token_us: 20_000,
+        ..QUICK
+    };
+    let site = Site::start(&["dakar-1"], 1, narrow).await;
+    let rules = site.rules().replace("slots=128", "slots=1");
+    let rules = rules.replace(
+        "standard share=30 target=20s",
+        "standard share=30 target=300ms",
+    );
+    let version = site.apply_rules("narrow", &rules).await;
+    site.wait_for_version(version).await;
+    let asked: Vec<_> = (0..12)
+        .map(|n| site.ask_later(0, &chat(&format!("r-{n}"), "a", 20)))
+        .collect();
+    let (mut served, mut refused) = (0, 0);
+    for answer in asked {
+        let answer = answer.await.expect("the caller runs").expect("an answer");
+        match answer.status {
+            200 => served += 1,
+            status => {
+                let found = (status, answer.code(), answer.outcome);
+                assert_eq!(found, (429, "overload".to_owned(), "not_run".to_owned()));
+                refused += 1;
+            }
+        }
+    }
+    assert!(
+        served >= 1 && refused >= 1,
+        "{served} served, {refused} refused"
+    );
+    assert_eq!(
+        site.engines[0].0.load().started,
+        served,
+        "what was refused never ran"
+    );
 }
 
 /// Sends raw bytes and returns what comes back before the connection closes.
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -189,6 +189,24 @@
         .await;
     }
 
+    /// Waits until a version of the rules is in force on all routers.
+    pub async fn wait_for_version(&self, version: u64) {
+        for index in 0..self.routers.len() {
+            eventually("the rules are in force", || async {
+                self.status(index).await["rules"].as_u64() == Some(version)
+            })
+            .await;
+        }
+    }
+
+    /// Asks a router's admin API.
+    pub async fn admin(&self, ask: &Ask) -> Answer {
+        let key = ask.key.clone().or(Some(process::OPERATOR.to_owned()));
+        let ask = Ask { key, ..ask.clone() };
+        let answer = self.caller.ask(self.routers[0].operators, &ask).await;
+        answer.unwrap_or_else(|error| panic!("no answer: {error}"))
+    }
+
     /// Returns a router's own status.
     pub async fn status(&self, index: usize) -> serde_json::Value {
         let ask = Ask {
--- a/crates/standin/examples/call.rs
+++ b/crates/standin/examples/call.rs
@@ -43,6 +43,7 @@
         key: args.key,
         id: args.id,
         priority: None,
+        budget: None,
         body,
     };
     let answer = match Caller::open().ask(args.to, &ask).await {
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -24,6 +24,8 @@
     pub id: Option<String>,
     /// The priority.
     pub priority: Option<String>,
+    /// The budget.
+    pub budget: Option<String>,
     /// The body.
     pub body: String,
 }
@@ -64,6 +66,12 @@
         self
     }
 
+    /// Names the budget.
+    pub fn with_budget(mut self, budget: &str) -> Self {
+        self.budget = Some(budget.to_owned());
+        self
+    }
+
     /// Names the priority.
     pub fn with_priority(mut self, priority: &str) -> Self {
         self.priority = Some(priority.to_owned());
@@ -169,6 +177,9 @@
         if let Some(priority) = &ask.priority {
             request = request.header("x-fescue-priority", priority);
         }
+        if let Some(budget) = &ask.budget {
+            request = request.header("x-fescue-budget", budget);
+        }
         let body = Full::new(Bytes::from(ask.body.clone()));
         let request = request.body(body).map_err(|e| failed(&e))?;
         let response = self.http.request(request).await.map_err(|e| failed(&e))?;
