Write bills as batches that are inserted, forget ids after two hours, archive old pages

Cause: each flush read and rewrote pages of up to 128 bills: 125 KB/s a router on loopback at 40 requests/s of eight routers; ids were kept for ever, in memory and in the chains, and a starting router read all of them. Change: a page is one batch, inserted under the next number, which only succeeds for who has read all before it; ids are kept as 128-bit hashes for two hours; old pages move to the object store, all but the last of a chain. Flushes are 5 s apart.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -187,7 +187,7 @@
     fn read(reader: &mut Reader<'_>) -> Option<Self> {
         Some(Self {
             allowance: reader.millis("allowance_ms", 500, 10..=60_000),
-            bills: reader.millis("bills_ms", 2000, 10..=60_000),
+            bills: reader.millis("bills_ms", 5000, 10..=60_000),
             rules: reader.millis("rules_ms", 1000, 10..=60_000),
             heartbeat: reader.millis("heartbeat_ms", 1000, 10..=60_000),
             silence: reader.millis("silence_ms", 5000, 100..=600_000),
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -45,6 +45,14 @@
     format!("bills/{bucket}/{number:012}")
 }
 
+/// The prefix of all archived pages.
+pub const ARCHIVES: &str = "archive/";
+
+/// Names the row of some archived pages, by the first of them.
+pub fn archive(bucket: Bucket, first: u64) -> String {
+    format!("{ARCHIVES}{bucket}/{first:012}")
+}
+
 /// Names the row of a call that may not be repeated.
 pub fn claim(service: &ServiceId, team: &TeamId, request: &RequestId) -> String {
     format!("claim/{service}/{team}/{request}")
--- a/crates/policy/src/bills.rs
+++ b/crates/policy/src/bills.rs
@@ -1,12 +1,14 @@
 //! Bills, each request once.
 //!
-//! A bill goes to the bucket of its request id. A bucket is a chain of pages in the table; a bill
-//! is appended to the last page in the same transaction that charges the lines which paid for it.
-//! Whoever appends has read the whole chain, so a second bill of a request is seen and its tokens
-//! stay with who meant to spend them. See [docs/design/billing.md](../../../docs/design/billing.md).
+//! A bill goes to the bucket of its request id. A bucket is a chain of numbered pages in the table;
+//! a batch of bills is the next page, inserted in the same transaction that charges the lines which
+//! paid for it. Whoever inserts a page has read those before it, so a second bill of a request is
+//! seen and its tokens stay with who meant to spend them. Requests are remembered for [`WINDOW`];
+//! older pages go to the archive. See [docs/design/billing.md](../../../docs/design/billing.md).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
+use std::time::Duration;
 
 use fescue_core::{BudgetId, Incarnation, RequestId, TeamId, Tokens, hash, record};
 use serde::{Deserialize, Serialize};
@@ -18,8 +20,8 @@
 /// Two routers that use different numbers could bill a request twice, so it is fixed.
 pub const BUCKETS: u32 = 4;
 
-/// How many bills a page takes before the next is begun.
-pub const PAGE_BILLS: usize = 128;
+/// How long a request id is remembered at least; a repeat after that is a new request.
+pub const WINDOW: Duration = Duration::from_secs(2 * 3600);
 
 /// A chain of pages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -70,12 +72,11 @@
     }
 
     /// A page of a bucket.
-    #[derive(Default)]
     pub struct Page {
-        /// The bills, in the order in which they came.
+        /// When it was written, in seconds since 1970, and no earlier than the page before it.
+        pub at: u64,
+        /// The bills.
         pub bills: Vec<Bill>,
-        /// Whether the next page was begun.
-        pub sealed: bool,
     }
 }
 
@@ -90,11 +91,16 @@
         Bucket::of(self.budget.team(), &self.request)
     }
 
-    fn key(&self) -> (TeamId, RequestId) {
-        (self.budget.team().clone(), self.request.clone())
+    fn key(&self) -> u128 {
+        key(self.budget.team(), &self.request)
     }
 }
 
+/// Returns what a request is remembered by, far smaller than its names.
+fn key(team: &TeamId, request: &RequestId) -> u128 {
+    hash::long(format!("{team}/{request}").as_bytes())
+}
+
 /// What became of a bill.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Entered {
@@ -106,10 +112,12 @@
     Duplicate(BillId),
 }
 
-/// All bills of a bucket that one router has read.
+/// The requests of a bucket that one router has read.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
-    seen: HashMap<(TeamId, RequestId), Known>,
+    seen: HashMap<u128, Known>,
+    /// The requests of each page, the oldest page first.
+    pages: VecDeque<(u64, Vec<u128>)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -119,14 +127,16 @@
 }
 
 impl Index {
-    /// Adds the bills of a page that was read.
+    /// Adds the bills of a page.
     pub fn read(&mut self, page: &Page) {
+        let keys = page.bills.iter().map(Bill::key).collect();
         for bill in &page.bills {
             self.insert(bill);
         }
+        self.pages.push_back((page.at, keys));
     }
 
-    /// Adds one stored bill; the first of a request stays.
+    /// Adds one bill; the first of a request stays.
     pub fn insert(&mut self, bill: &Bill) {
         let known = Known {
             id: bill.id,
@@ -135,6 +145,16 @@
         self.seen.entry(bill.key()).or_insert(known);
     }
 
+    /// Forgets the requests of pages that were written longer than [`WINDOW`] before `now`.
+    pub fn prune(&mut self, now: u64) {
+        while self.pages.front().is_some_and(|(at, _)| is_old(*at, now)) {
+            let (_, keys) = self.pages.pop_front().unwrap_or_default();
+            for key in keys {
+                self.seen.remove(&key);
+            }
+        }
+    }
+
     /// Says what would become of a bill.
     pub fn look_up(&self, bill: &Bill) -> Entered {
         match self.seen.get(&bill.key()) {
@@ -146,8 +166,7 @@
 
     /// Returns the body's fingerprint of a request that was billed.
     pub fn body_of(&self, team: &TeamId, request: &RequestId) -> Option<u64> {
-        let key = (team.clone(), request.clone());
-        self.seen.get(&key).map(|known| known.body)
+        self.seen.get(&key(team, request)).map(|known| known.body)
     }
 
     /// Returns how many requests it knows.
@@ -160,3 +179,8 @@
         self.seen.is_empty()
     }
 }
+
+/// Returns whether a page written at `at` is past [`WINDOW`] at `now`.
+pub fn is_old(at: u64, now: u64) -> bool {
+    now.saturating_sub(at) > WINDOW.as_secs()
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admin;
 pub mod allowance;
+pub mod archive;
 pub mod billing;
 pub mod blackboard;
 pub mod closing;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -20,6 +20,7 @@
 
 use crate::admin::{self, Admin};
 use crate::allowance::{Allowance, Clearing, Rounds};
+use crate::archive::Archivist;
 use crate::billing::Biller;
 use crate::blackboard::Board;
 use crate::closing::Closer;
@@ -83,7 +84,7 @@
         let objects: Arc<dyn Objects> = client;
         let board = Board::open(settings, Incarnation::new(rand::random()));
         let accounts = Accounts::open(Arc::clone(&table));
-        let billing = Arc::new(Billing::open(Arc::clone(&table)));
+        let billing = Arc::new(Billing::open(Arc::clone(&table), Arc::clone(&objects)));
         let config = Config::open(Arc::clone(&table), objects);
         let clearing = Clearing::open(Arc::clone(&board), accounts.clone());
         let rounds = Rounds::open(Arc::clone(&board), accounts.clone(), clearing.clone());
@@ -160,8 +161,10 @@
         let board = &self.board;
         let load = LoadWatch::open(Arc::clone(board), caller);
         let config = Controller::open(Arc::clone(board), config);
+        let archivist = Archivist::open(Arc::clone(board), Arc::clone(&billing));
         let mut closer = Closer::open(Arc::clone(board), self.accounts.clone(), billing);
         let biller = self.biller.clone();
+        self.tasks.spawn(async move { archivist.run().await });
         self.tasks.spawn(dispatch::run(Arc::clone(board)));
         self.tasks.spawn(async move { load.run().await });
         self.tasks.spawn(async move { config.run().await });
--- a/crates/router/tests/suite/fleet.rs
+++ b/crates/router/tests/suite/fleet.rs
@@ -232,7 +232,7 @@
 
     /// Returns what each request was billed, and fails on a request billed twice.
     pub async fn bills(&self) -> BTreeMap<String, u64> {
-        let billing = Billing::open(self.memory.clone());
+        let billing = Billing::open(self.memory.clone(), self.memory.clone());
         let bills = billing.list(None).await.expect("the bills can be read");
         let mut found = BTreeMap::new();
         for bill in bills {
--- a/crates/router/tests/suite/fleet/node.rs
+++ b/crates/router/tests/suite/fleet/node.rs
@@ -16,6 +16,7 @@
 use fescue_policy::ledger::Reservation;
 use fescue_policy::sizing::Policy;
 use fescue_router::allowance::{Allowance, Clearing, Rounds};
+use fescue_router::archive::Archivist;
 use fescue_router::billing::{Biller, Item};
 use fescue_router::blackboard::{Board, Member};
 use fescue_router::closing::Closer;
@@ -32,6 +33,7 @@
     pub rounds: Rounds,
     pub biller: Biller,
     pub closer: Closer,
+    pub archivist: Archivist,
     pub config: Controller,
     pub answers: Arc<dyn Link>,
     allowance: Allowance,
@@ -63,7 +65,7 @@
     ) -> Self {
         let board = Board::open(settings(index, data_centre), incarnation);
         let accounts = Accounts::open(Arc::clone(&table));
-        let billing = Arc::new(Billing::open(Arc::clone(&table)));
+        let billing = Arc::new(Billing::open(Arc::clone(&table), Arc::clone(&objects)));
         let clearing = Clearing::open(Arc::clone(&board), accounts.clone());
         let rounds = Rounds::open(Arc::clone(&board), accounts.clone(), clearing.clone());
         let copying = Copying::open(Arc::clone(&board));
@@ -71,6 +73,7 @@
         let task = tokio::spawn(async move { copying.run().await });
         Self {
             allowance: Allowance::open(Arc::clone(&board), rounds.follow()),
+            archivist: Archivist::open(Arc::clone(&board), Arc::clone(&billing)),
             closer: Closer::open(Arc::clone(&board), accounts, billing),
             config: Controller::open(
                 Arc::clone(&board),
--- a/crates/router/tests/suite/money_stories.rs
+++ b/crates/router/tests/suite/money_stories.rs
@@ -3,6 +3,10 @@
 use fescue_core::Execution;
 use fescue_core::outcome::Reason;
 
+use fescue_platform::Table;
+use fescue_platform::billing::unix_time;
+use fescue_policy::bills::WINDOW;
+
 use crate::fleet::Fleet;
 
 /// A router is cut off the table for long while its team is topped up on the other side.
@@ -372,3 +376,47 @@
     fleet.check().await;
     assert_eq!(fleet.bills().await.values().sum::<u64>(), 200);
 }
+
+/// Old bills go to the archive: they are still listed, and the chain goes on after them.
+#[tokio::test(start_paused = true)]
+async fn old_bills_are_archived_and_the_chain_goes_on() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-2"]).await;
+    fleet
+        .top_up("first", 1_000_000)
+        .await
+        .expect("the store is up");
+    for number in 0..400 {
+        let held = fleet.node(0).reserve(10).await.expect("it is covered");
+        fleet.node(0).finish(held, &format!("r-{number}"), 10).await;
+        fleet.node(0).biller.flush().await;
+    }
+    let later = unix_time() + WINDOW.as_secs() + 60;
+    fleet.lose_store_answers(1);
+    for _ in 0..3 {
+        for index in 0..2 {
+            fleet.node(index).archivist.round(later).await;
+        }
+    }
+    let left = fleet
+        .memory
+        .scan("bills/", "", 1000)
+        .await
+        .expect("the store is up");
+    assert!(left.len() < 100, "{} pages are left", left.len());
+    assert_eq!(fleet.bills().await.len(), 400);
+    // A router that starts now goes on from the last page of each chain.
+    fleet.kill(1);
+    fleet.restart(1, "dakar-2").await;
+    for number in 400..440 {
+        let index = number % 2;
+        let held = fleet.node(index).reserve(10).await.expect("it is covered");
+        fleet
+            .node(index)
+            .finish(held, &format!("r-{}", number / 2 * 2), 10)
+            .await;
+        fleet.node(index).biller.flush().await;
+    }
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.len(), 420);
+}
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -236,7 +236,7 @@
 
     /// Returns the tokens billed, by request; fails on a request that is billed twice.
     pub async fn bills(&self) -> std::collections::BTreeMap<String, u64> {
-        let billing = Billing::open(self.memory.clone());
+        let billing = Billing::open(self.memory.clone(), self.memory.clone());
         let bills = billing.list(None).await.expect("the bills can be read");
         let mut found = std::collections::BTreeMap::new();
         for bill in bills {
--- a/crates/standin/examples/load.rs
+++ b/crates/standin/examples/load.rs
@@ -44,6 +44,9 @@
     seed: u64,
 }
 
+/// The longest time that is told apart, in microseconds.
+const MOST_MICROS: u64 = 3_600_000_000;
+
 /// What became of the requests of one team and priority.
 struct Row {
     sent: u64,
@@ -55,7 +58,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are allowed")
+    Histogram::new_with_bounds(1, MOST_MICROS, 3).expect("the bounds are allowed")
 }
 
 impl Default for Row {
