--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -46,7 +46,10 @@
     /// Opens a client that names `vm` in its calls; connections are made when they are needed.
     pub fn open(address: SocketAddr, timeout: Duration, vm: &VmId) -> Self {
         let vm = vm.clone();
-        let http = HyperClient::builder(TokioExecutor::new()).build_http();
+        let mut connector = HttpConnector::new();
+        // Small calls must not wait for the acknowledgement of the last one.
+        connector.set_nodelay(true);
+        let http = HyperClient::builder(TokioExecutor::new()).build(connector);
         Self {
             http,
             address,
--- a/crates/router/src/allowance/round.rs
+++ b/crates/router/src/allowance/round.rs
@@ -232,10 +232,13 @@
         }
     }
 
+    /// Notes a failure of the table; only the first of a row of them is logged.
     fn count_failure(&mut self, error: &TableError) {
+        if self.unwell == 0 {
+            tracing::warn!(%error, "the table gave no answer");
+        }
         self.unwell = WELL_AFTER;
         self.board.metrics.store_failures.inc();
-        tracing::warn!(%error, "the table gave no answer");
     }
 
     /// Returns the budgets that need tokens cleared.
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -139,7 +139,9 @@
 impl Caller {
     /// Opens a caller.
     pub fn open() -> Self {
-        let http = Client::builder(TokioExecutor::new()).build_http();
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let http = Client::builder(TokioExecutor::new()).build(connector);
         Self { http }
     }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use axum::Router;
+use axum::serve::ListenerExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -23,6 +24,9 @@
     pub async fn spawn(address: SocketAddr, router: Router) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
+        let listener = listener.tap_io(|stream| {
+            let _set = stream.set_nodelay(true);
+        });
         let task = tokio::spawn(async move {
             if let Err(error) = axum::serve(listener, router).await {
                 eprintln!("a stand-in stopped: {error}");
