Close an upstream on a peer's word before its first report here

Change: until its first report an upstream counts as leaving on a peer's word; the next report decides.

--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -9,6 +9,9 @@
 use fescue_policy::placement::Candidate;
 use indexmap::{IndexMap, IndexSet};
 
+/// The incarnation of an upstream that has given no report.
+const UNKNOWN: u64 = 0;
+
 /// How many prompt prefixes are believed cached at one upstream.
 const PREFIXES: usize = 1024;
 
@@ -68,7 +71,7 @@
     fn open(rule: Arc<Upstream>) -> Self {
         Self {
             member: hash::short(rule.name.as_str().as_bytes()),
-            incarnation: 0,
+            incarnation: UNKNOWN,
             own: 0,
             limit: Limit::open(rule.slots, 1),
             breaker: Breaker::default(),
@@ -284,7 +287,9 @@
             tracing::info!(upstream = %name, incarnation, "the upstream is leaving");
         }
         if let Some(state) = self.states.get_mut(name) {
-            state.leaving |= state.incarnation == incarnation;
+            // Before its first report here, a peer's word is all that is known of it.
+            let unknown = state.incarnation == UNKNOWN;
+            state.leaving |= unknown || state.incarnation == incarnation;
         }
     }
 
