--- a/crates/platform/src/accounts.rs
+++ b/crates/platform/src/accounts.rs
@@ -4,12 +4,15 @@
 //! are still as read. After a conflict or a lost answer it reads again: the row itself then says
 //! whether the change took effect, so that repeating never doubles it.
 
+mod closing;
+mod exchange;
+
+pub use exchange::{Exchange, Exchanged};
+
 use std::sync::Arc;
 
 use fescue_core::{BudgetId, ChangeId, DataCentreId, Incarnation, Tokens, VmId};
-use fescue_policy::account::{AllowanceRow, BudgetRow, Closing, TopUpRow};
-use fescue_policy::ledger::Parts;
-use fescue_policy::sizing::{Outlook, Policy};
+use fescue_policy::account::{AllowanceRow, BudgetRow, TopUpRow};
 use indexmap::IndexMap;
 
 use crate::table::scan_all;
@@ -30,33 +33,6 @@
     table: Arc<dyn Table>,
 }
 
-/// What a router asks of the table in one exchange.
-#[derive(Clone, Debug, Default)]
-pub struct Exchange {
-    /// Counts the exchanges of an incarnation.
-    pub number: u64,
-    /// What it knows of each budget that it wants to draw on.
-    pub draws: IndexMap<BudgetId, Outlook>,
-    /// What it gives back, by budget and origin.
-    pub returns: IndexMap<BudgetId, Parts>,
-}
-
-/// What an exchange brought.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Exchanged {
-    /// What was drawn of each budget.
-    pub drawn: IndexMap<BudgetId, Tokens>,
-    /// What each budget has free now, where that was read.
-    pub free: IndexMap<BudgetId, Tokens>,
-}
-
-impl Exchange {
-    /// Returns whether there is nothing to ask.
-    pub fn is_empty(&self) -> bool {
-        self.draws.is_empty() && self.returns.is_empty()
-    }
-}
-
 impl Accounts {
     /// Opens the accounts that are kept in `table`.
     pub fn open(table: Arc<dyn Table>) -> Self {
@@ -148,32 +124,6 @@
         .await
     }
 
-    /// Draws and gives back, once for each number, and returns what was drawn.
-    ///
-    /// Nothing is written where nothing is drawn or given back.
-    /// How much is drawn is left to `policy`, which sees what each budget has free.
-    ///
-    /// # Errors
-    ///
-    /// [`TableError::Lost`] when it may have taken effect; it is then asked again with the same
-    /// number.
-    pub async fn exchange(
-        &self,
-        owner: Incarnation,
-        ask: &Exchange,
-        policy: &dyn Policy,
-    ) -> Result<Exchanged, TableError> {
-        let mut names = vec![keys::allowance(owner)];
-        let returned = ask.returns.values().flat_map(Parts::iter);
-        let origins: Vec<_> = returned.map(|part| part.origin).collect();
-        names.extend(origins.iter().map(|origin| keys::allowance(*origin)));
-        let budgets = ask.draws.keys().chain(ask.returns.keys());
-        names.extend(budgets.map(keys::budget));
-        dedup(&mut names);
-        self.repeat(&names, |rows| plan_exchange(owner, ask, policy, rows))
-            .await
-    }
-
     /// Names the witnesses of an incarnation and what it acknowledges.
     ///
     /// # Errors
@@ -245,97 +195,6 @@
         Ok(found)
     }
 
-    /// Closes an incarnation's allowances and returns what went back to budgets.
-    ///
-    /// `noted` is what a majority of the witnesses named in the row reported; those of another set
-    /// prove nothing, so a row whose witnesses are no longer `witnesses` is left open.
-    ///
-    /// # Errors
-    ///
-    /// When the store can't be reached.
-    pub async fn close(
-        &self,
-        owner: Incarnation,
-        witnesses: &[Incarnation],
-        closing: &Closing,
-    ) -> Result<IndexMap<BudgetId, Tokens>, TableError> {
-        let names = self.names_with_budgets(owner).await?;
-        self.repeat(&names, |rows| {
-            let mut row = allowance(&rows[0], owner)?;
-            if row.closed.is_some() {
-                return Ok(Step::Done(IndexMap::new()));
-            }
-            if row.witnesses != witnesses {
-                return Err(TableError::Unavailable("the witnesses changed".to_owned()));
-            }
-            let mut budgets = decode_budgets(&rows[1..])?;
-            let refunds = row.close(owner, closing.clone(), &mut budgets);
-            Ok(Step::Write(write_all(rows, &row, &budgets), refunds))
-        })
-        .await
-    }
-
-    /// Gives what a closed row holds of a budget back, on an operator's word.
-    ///
-    /// # Errors
-    ///
-    /// When a row isn't closed or acknowledged, or the store can't be reached.
-    pub async fn release(&self, owner: Incarnation, id: &BudgetId) -> Result<Tokens, TableError> {
-        let others = self.allowances().await?;
-        let others: Vec<_> = others.into_values().collect();
-        let names = [keys::allowance(owner), keys::budget(id)];
-        self.repeat(&names, |rows| {
-            let mut row = allowance(&rows[0], owner)?;
-            let mut budget: BudgetRow = rows[1].decode()?.unwrap_or_default();
-            let amount = row.release(owner, id, &mut budget, &others)?;
-            let mut write = Transaction::default();
-            write.replace(&rows[0], &row);
-            write.replace(&rows[1], &budget);
-            Ok(Step::Write(write, amount))
-        })
-        .await
-    }
-
-    /// Folds the finished lines of a closed row into their budgets; a row left empty goes.
-    ///
-    /// # Errors
-    ///
-    /// When the row is open or the store can't be reached.
-    pub async fn fold(&self, owner: Incarnation) -> Result<bool, TableError> {
-        let names = self.names_with_budgets(owner).await?;
-        self.repeat(&names, |rows| {
-            if !rows[0].exists() {
-                return Ok(Step::Done(true));
-            }
-            let mut row = allowance(&rows[0], owner)?;
-            if row.closed.is_none() {
-                return Ok(Step::Done(false));
-            }
-            let before = row.lines.len();
-            let mut budgets = decode_budgets(&rows[1..])?;
-            let empty = row.fold(&mut budgets);
-            if before == row.lines.len() && !empty {
-                return Ok(Step::Done(false));
-            }
-            let mut write = write_all(rows, &row, &budgets);
-            if empty {
-                write.put.retain(|put| put.key != rows[0].key);
-                write.delete.push(rows[0].key.clone());
-            }
-            Ok(Step::Write(write, empty))
-        })
-        .await
-    }
-
-    async fn names_with_budgets(&self, owner: Incarnation) -> Result<Vec<String>, TableError> {
-        let mut names = vec![keys::allowance(owner)];
-        let rows = self.table.read(&names).await?;
-        if let Some(row) = rows[0].decode::<AllowanceRow>()? {
-            names.extend(row.lines.keys().map(keys::budget));
-        }
-        Ok(names)
-    }
-
     /// Reads rows, plans a write and tries again after conflicts and lost answers.
     async fn repeat<T>(
         &self,
@@ -371,11 +230,6 @@
     fescue_policy::account::AccountError::Closed(owner).into()
 }
 
-fn dedup(names: &mut Vec<String>) {
-    let mut seen = std::collections::HashSet::new();
-    names.retain(|name| seen.insert(name.clone()));
-}
-
 fn allowance(row: &Row, owner: Incarnation) -> Result<AllowanceRow, TableError> {
     row.decode()?.ok_or_else(|| closed(owner))
 }
@@ -408,69 +262,3 @@
     }
     write
 }
-
-fn plan_exchange(
-    owner: Incarnation,
-    ask: &Exchange,
-    policy: &dyn Policy,
-    rows: &[Row],
-) -> Result<Step<Exchanged>, TableError> {
-    let mut own = allowance(&rows[0], owner)?;
-    if own.has_exchanged(ask.number) {
-        let drawn = own.exchange.drawn;
-        return Ok(Step::Done(Exchanged {
-            drawn,
-            ..Exchanged::default()
-        }));
-    }
-    let mut budgets = decode_budgets(rows)?;
-    let mut others = IndexMap::new();
-    for (id, parts) in &ask.returns {
-        let Some(budget) = budgets.get_mut(id) else {
-            continue;
-        };
-        for part in parts.iter() {
-            if part.origin == owner {
-                budget.take_back(own.line(id), part.amount)?;
-                continue;
-            }
-            let other = other_row(&mut others, rows, part.origin)?;
-            budget.take_back(other.line(id), part.amount)?;
-        }
-    }
-    let mut wants = IndexMap::new();
-    for (id, outlook) in &ask.draws {
-        let free = budgets.get(id).map_or(Tokens::ZERO, |budget| budget.free);
-        let outlook = Outlook { free, ..*outlook };
-        wants.insert(id.clone(), policy.draw(&outlook));
-    }
-    let drawn = own.draw(owner, ask.number, &wants, &mut budgets)?;
-    let free = budgets.iter().map(|(id, budget)| (id.clone(), budget.free));
-    let free = free.collect();
-    let exchanged = Exchanged { drawn, free };
-    if ask.returns.is_empty() && exchanged.drawn.values().all(|drawn| drawn.is_zero()) {
-        return Ok(Step::Done(exchanged));
-    }
-    let mut write = write_all(rows, &own, &budgets);
-    for (origin, other) in &others {
-        let key = keys::allowance(*origin);
-        if let Some(row) = rows.iter().find(|row| row.key == key) {
-            write.replace(row, other);
-        }
-    }
-    Ok(Step::Write(write, exchanged))
-}
-
-fn other_row<'a>(
-    others: &'a mut IndexMap<Incarnation, AllowanceRow>,
-    rows: &[Row],
-    origin: Incarnation,
-) -> Result<&'a mut AllowanceRow, TableError> {
-    if !others.contains_key(&origin) {
-        let key = keys::allowance(origin);
-        let row = rows.iter().find(|row| row.key == key);
-        let row = row.ok_or_else(|| closed(origin))?;
-        others.insert(origin, allowance(row, origin)?);
-    }
-    Ok(&mut others[&origin])
-}
--- a/crates/router/tests/suite/process_service.rs
+++ b/crates/router/tests/suite/process_service.rs
@@ -24,29 +24,18 @@
 #[tokio::test]
 async fn killed_router_leaves_the_other_serving() {
     let mut site = Site::start(&["dakar-1", "dakar-2"], 2, SLOW).await;
-    let prompts: Vec<_> = (0..5).map(|n| format!("price of lot {n}")).collect();
-    let open: Vec<_> = prompts
-        .iter()
-        .enumerate()
-        .map(|(n, prompt)| site.ask_later(0, &chat(&format!("r-{n}"), prompt, 60)))
-        .collect();
-    let started = || {
-        site.engines
-            .iter()
-            .map(|(engine, _)| engine.load().started)
-            .sum::<u64>()
-    };
-    eventually("the streams are open", || async { started() >= 5 }).await;
+    let open = site.open_streams(0, 5, 60).await;
     site.routers[0].signal(Signal::KILL);
     for stream in open {
         let cut = stream.await.expect("the caller runs");
         assert!(cut.is_none_or(|answer| !answer.is_whole()));
     }
     // Each caller tries again on the other router, one of them twice at the same time.
-    let twin = site.ask_later(1, &chat("r-0", &prompts[0], 60));
-    for (n, prompt) in prompts.iter().enumerate() {
-        let answer = site.ask(1, &chat(&format!("r-{n}"), prompt, 60)).await;
-        assert_eq!(answer.text(), expected_text(prompt, 60));
+    let twin = site.ask_later(1, &chat("r-0", "lot 0", 60));
+    for n in 0..5 {
+        let prompt = format!("lot {n}");
+        let answer = site.ask(1, &chat(&format!("r-{n}"), &prompt, 60)).await;
+        assert_eq!(answer.text(), expected_text(&prompt, 60));
     }
     assert!(
         twin.await
@@ -135,16 +124,7 @@
 #[tokio::test]
 async fn engine_dying_by_itself_quarantines_nothing() {
     let site = Site::start(&["dakar-1"], 4, SLOW).await;
-    let open: Vec<_> = (0..8)
-        .map(|n| site.ask_later(0, &chat(&format!("r-{n}"), &format!("lot {n}"), 60)))
-        .collect();
-    let running = || {
-        site.engines
-            .iter()
-            .map(|(engine, _)| engine.load().running)
-            .sum::<usize>()
-    };
-    eventually("the streams are open", || async { running() == 8 }).await;
+    let open = site.open_streams(0, 8, 60).await;
     site.engines[0].0.set_faults(EngineFaults {
         down: true,
         ..EngineFaults::default()
--- a/crates/router/tests/suite/process_stops.rs
+++ b/crates/router/tests/suite/process_stops.rs
@@ -16,16 +16,7 @@
 #[tokio::test]
 async fn planned_stop_cuts_no_stream() {
     let mut site = Site::start(&["dakar-1", "dakar-2"], 2, SLOW).await;
-    let open: Vec<_> = (0..100)
-        .map(|n| site.ask_later(0, &chat(&format!("r-{n}"), &format!("lot {n}"), 50)))
-        .collect();
-    let running = || {
-        site.engines
-            .iter()
-            .map(|(engine, _)| engine.load().running)
-            .sum::<usize>()
-    };
-    eventually("all streams are open", || async { running() == 100 }).await;
+    let open = site.open_streams(0, 100, 50).await;
     site.routers[0].signal(Signal::TERM);
     tokio::time::sleep(Duration::from_millis(100)).await;
     site.routers[0].signal(Signal::TERM);
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -234,6 +234,25 @@
         tokio::spawn(async move { caller.ask(to, &ask).await.ok() })
     }
 
+    /// Opens streams at a router, named `r-0` and so on, and waits until engines run them all.
+    ///
+    /// The prompt of each is `lot N`.
+    pub async fn open_streams(
+        &self,
+        index: usize,
+        count: usize,
+        most: u64,
+    ) -> Vec<tokio::task::JoinHandle<Option<Answer>>> {
+        let ask = |n| chat(&format!("r-{n}"), &format!("lot {n}"), most);
+        let open = (0..count).map(|n| self.ask_later(index, &ask(n))).collect();
+        let loads = || self.engines.iter().map(|(engine, _)| engine.load().started);
+        eventually("the streams are open", || async {
+            loads().sum::<u64>() >= count as u64
+        })
+        .await;
+        open
+    }
+
     /// Returns the tokens billed, by request; fails on a request that is billed twice.
     pub async fn bills(&self) -> std::collections::BTreeMap<String, u64> {
         let billing = Billing::open(self.memory.clone(), self.memory.clone());
