Count namings of witnesses, and give back nothing that a closing gave back

Cause: stronger generated stories (a death without a calm before it, a router that wakes without the store) found an overspend and unbilled answers. Change: each naming of witnesses has an epoch, in the row and in each note; a report counts only for the row's epoch. A router that was closed reads how, writes off what went back, and only then gives anything back. Blocks of all budgets go in one message. A bill that a line can't pay no longer holds up the others.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -77,20 +77,31 @@
         Ok(convert::parts_in(&reply.into_inner().parts))
     }
 
-    async fn note(&self, from: Incarnation, notes: Notes, whole: bool) -> Result<Noted, PeerError> {
+    async fn note(
+        &self,
+        from: Incarnation,
+        epoch: u64,
+        notes: Notes,
+        whole: bool,
+    ) -> Result<Noted, PeerError> {
         let request = wire::NoteRequest {
             from: from.get(),
             totals: convert::notes_out(&notes),
             whole,
+            epoch,
         };
         let request = self.request(request);
         let reply = self.peer().note(request).await.map_err(failed)?;
         Ok(convert::noted_in(reply.into_inner().noted()))
     }
 
-    async fn refuse(&self, owner: Incarnation) -> Result<(Incarnation, Report), PeerError> {
+    async fn refuse(
+        &self,
+        owner: Incarnation,
+        epoch: u64,
+    ) -> Result<(Incarnation, Report), PeerError> {
         let owner = owner.get();
-        let request = self.request(wire::RefuseRequest { owner });
+        let request = self.request(wire::RefuseRequest { owner, epoch });
         let reply = self.peer().refuse(request).await.map_err(failed)?;
         let reply = reply.into_inner();
         let report = Report {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -90,11 +90,22 @@
     /// Asks for unspent tokens.
     async fn take(&self, take: Take) -> Result<Parts, PeerError>;
 
-    /// Has blocks noted; `whole` says that they are all of the sender's.
-    async fn note(&self, from: Incarnation, notes: Notes, whole: bool) -> Result<Noted, PeerError>;
+    /// Has blocks noted under an epoch; `whole` says that they are all of the sender's.
+    async fn note(
+        &self,
+        from: Incarnation,
+        epoch: u64,
+        notes: Notes,
+        whole: bool,
+    ) -> Result<Noted, PeerError>;
 
-    /// Has an incarnation refused from now on; answers with the witness's own incarnation.
-    async fn refuse(&self, owner: Incarnation) -> Result<(Incarnation, Report), PeerError>;
+    /// Has an incarnation refused from now on; answers with the witness's own incarnation and what
+    /// it noted under an epoch.
+    async fn refuse(
+        &self,
+        owner: Incarnation,
+        epoch: u64,
+    ) -> Result<(Incarnation, Report), PeerError>;
 
     /// Has copies of bills kept.
     async fn keep(&self, owner: Incarnation, copies: Copies) -> Result<(), PeerError>;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -111,7 +111,10 @@
         let request = request.into_inner();
         let from = Incarnation::new(request.from);
         let notes = convert::notes_in(&request.totals).map_err(refused)?;
-        let noted = self.link.note(from, notes, request.whole).await;
+        let noted = self
+            .link
+            .note(from, request.epoch, notes, request.whole)
+            .await;
         let noted = convert::noted_out(noted.map_err(refused)?);
         let noted = noted.into();
         Ok(Response::new(wire::NoteReply { noted }))
@@ -121,8 +124,10 @@
         &self,
         request: Request<wire::RefuseRequest>,
     ) -> Result<Response<wire::RefuseReply>, Status> {
-        let owner = Incarnation::new(request.into_inner().owner);
-        let (witness, report) = self.link.refuse(owner).await.map_err(refused)?;
+        let request = request.into_inner();
+        let owner = Incarnation::new(request.owner);
+        let refused_now = self.link.refuse(owner, request.epoch).await;
+        let (witness, report) = refused_now.map_err(refused)?;
         Ok(Response::new(wire::RefuseReply {
             incarnation: witness.get(),
             seeded: report.seeded,
--- a/crates/platform/src/accounts.rs
+++ b/crates/platform/src/accounts.rs
@@ -124,7 +124,7 @@
         .await
     }
 
-    /// Names the witnesses of an incarnation and what it acknowledges.
+    /// Names the witnesses of an incarnation, for the `epoch`th time, and what it acknowledges.
     ///
     /// # Errors
     ///
@@ -132,6 +132,7 @@
     pub async fn declare(
         &self,
         owner: Incarnation,
+        epoch: u64,
         witnesses: &[Incarnation],
         acknowledged: &[Incarnation],
     ) -> Result<(), TableError> {
@@ -141,6 +142,7 @@
                 return Err(closed(owner));
             }
             row.witnesses = witnesses.to_vec();
+            row.epoch = epoch;
             row.acknowledged = acknowledged.to_vec();
             let mut write = Transaction::default();
             write.replace(&rows[0], &row);
--- a/crates/platform/src/accounts/closing.rs
+++ b/crates/platform/src/accounts/closing.rs
@@ -10,8 +10,8 @@
 impl Accounts {
     /// Closes an incarnation's allowances and returns what went back to budgets.
     ///
-    /// `noted` is what a majority of the witnesses named in the row reported; those of another set
-    /// prove nothing, so a row whose witnesses are no longer `witnesses` is left open.
+    /// `noted` is what a majority of the witnesses named for the `epoch`th time reported; those of
+    /// another naming prove nothing, so a row that has moved on is left open.
     ///
     /// # Errors
     ///
@@ -19,7 +19,7 @@
     pub async fn close(
         &self,
         owner: Incarnation,
-        witnesses: &[Incarnation],
+        epoch: u64,
         closing: &Closing,
     ) -> Result<IndexMap<BudgetId, Tokens>, TableError> {
         let names = self.names_with_budgets(owner).await?;
@@ -28,7 +28,7 @@
             if row.closed.is_some() {
                 return Ok(Step::Done(IndexMap::new()));
             }
-            if row.witnesses != witnesses {
+            if row.epoch != epoch {
                 return Err(TableError::Unavailable("the witnesses changed".to_owned()));
             }
             let mut budgets = decode_budgets(&rows[1..])?;
--- a/crates/platform/src/accounts/exchange.rs
+++ b/crates/platform/src/accounts/exchange.rs
@@ -18,6 +18,8 @@
     pub draws: IndexMap<BudgetId, Outlook>,
     /// What it gives back, by budget and origin.
     pub returns: IndexMap<BudgetId, Parts>,
+    /// Whether the router knows that its row is closed, and has written off what went back then.
+    pub knows_closed: bool,
 }
 
 /// What an exchange brought.
@@ -82,6 +84,9 @@
             ..Exchanged::default()
         }));
     }
+    if own.closed.is_some() && !ask.knows_closed {
+        return Err(closed(owner));
+    }
     let mut budgets = decode_budgets(rows)?;
     let mut others = IndexMap::new();
     for (id, parts) in &ask.returns {
--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -94,6 +94,8 @@
         pub closed: Option<Closing>,
         /// The peers that note its blocks, see [`crate::witness`].
         pub witnesses: Vec<Incarnation>,
+        /// Counts how often witnesses were named.
+        pub epoch: u64,
         /// Its last exchange.
         pub exchange: ExchangeRecord,
         /// What it drew, by budget.
@@ -193,6 +195,7 @@
             data_centre,
             closed: None,
             witnesses: Vec::new(),
+            epoch: 0,
             exchange: ExchangeRecord::default(),
             lines: IndexMap::new(),
             acknowledged: Vec::new(),
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -171,6 +171,20 @@
         parts
     }
 
+    /// Writes off what no witness has noted of the owner's own lines.
+    ///
+    /// When its row is closed with the witnesses' word, these tokens have gone back already.
+    pub fn write_off_unnoted(&mut self) {
+        let owner = self.owner;
+        for purse in self.purses.values_mut() {
+            let unnoted = purse.lot(owner).map_or(Tokens::ZERO, |lot| lot.free);
+            let unnoted = Parts::single(owner, unnoted);
+            purse.each(&unnoted, |lot, amount| {
+                lot.free = lot.free.saturating_sub(amount)
+            });
+        }
+    }
+
     /// Returns whether nothing of an incarnation's lines is held.
     pub fn is_clear_of(&self, origin: Incarnation) -> bool {
         let held = |purse: &Purse| purse.lot(origin).is_some_and(|lot| !lot.total().is_zero());
--- a/crates/policy/src/witness.rs
+++ b/crates/policy/src/witness.rs
@@ -103,6 +103,8 @@
 /// One router's notes at a witness.
 #[derive(Clone, Debug, Default)]
 struct Entry {
+    /// Which naming of witnesses the notes are of.
+    epoch: u64,
     seeded: bool,
     refused: bool,
     notes: Notes,
@@ -116,11 +118,21 @@
 
 impl Notebook {
     /// Notes totals of `owner`; `whole` says that they are all of its totals.
-    pub fn note(&mut self, owner: Incarnation, notes: &Notes, whole: bool) -> Noted {
+    ///
+    /// A witness that is named anew may have missed what was spent in between, so what it noted
+    /// under an earlier `epoch` counts for nothing until it has all totals again.
+    pub fn note(&mut self, owner: Incarnation, epoch: u64, notes: &Notes, whole: bool) -> Noted {
         let entry = self.entries.entry(owner).or_default();
         if entry.refused {
             return Noted::Refused;
         }
+        if epoch < entry.epoch {
+            return Noted::Unseeded;
+        }
+        if epoch > entry.epoch {
+            entry.epoch = epoch;
+            entry.seeded = false;
+        }
         if !whole && !entry.seeded {
             return Noted::Unseeded;
         }
@@ -129,12 +141,12 @@
         Noted::Yes
     }
 
-    /// Refuses `owner` from now on and reports what was noted.
-    pub fn refuse(&mut self, owner: Incarnation) -> Report {
+    /// Refuses `owner` from now on and reports what was noted under `epoch`.
+    pub fn refuse(&mut self, owner: Incarnation, epoch: u64) -> Report {
         let entry = self.entries.entry(owner).or_default();
         entry.refused = true;
         Report {
-            seeded: entry.seeded,
+            seeded: entry.seeded && entry.epoch == epoch,
             notes: entry.notes.clone(),
         }
     }
--- a/crates/policy/tests/suite/witness.rs
+++ b/crates/policy/tests/suite/witness.rs
@@ -31,7 +31,7 @@
             let mut yes = 0;
             for (index, witness) in witnesses.iter_mut().enumerate() {
                 if reached[index] {
-                    let noted = witness.note(owner, &notes, !seeded[index]);
+                    let noted = witness.note(owner, 1, &notes, !seeded[index]);
                     seeded[index] |= noted == Noted::Yes;
                     yes += usize::from(noted == Noted::Yes);
                 }
@@ -45,7 +45,7 @@
             }
         }
         let asked = witnesses.iter_mut().enumerate().filter(|(i, _)| closing[*i]);
-        let reports: Vec<_> = asked.map(|(_, w)| w.refuse(owner)).collect();
+        let reports: Vec<_> = asked.map(|(_, w)| w.refuse(owner, 1)).collect();
         let proved = verdict(named, &reports);
         if let Some(proved) = &proved {
             prop_assert!(proved.get(&budget(), owner) >= spendable);
@@ -56,3 +56,25 @@
         }
     }
 }
+
+/// A witness that is named again has missed what was spent in between: its word proves nothing
+/// until it has all totals.
+#[test]
+fn witness_named_again_is_unseeded() {
+    let owner = Incarnation::new(1);
+    let mut witness = Notebook::default();
+    let mut notes = Notes::default();
+    notes.add(&budget(), &Parts::single(owner, Tokens::new(5)));
+    assert_eq!(witness.note(owner, 1, &notes, true), Noted::Yes);
+    assert_eq!(witness.note(owner, 3, &notes, false), Noted::Unseeded);
+    assert_eq!(
+        witness.note(owner, 1, &notes, true),
+        Noted::Unseeded,
+        "it is late"
+    );
+    let mut other = witness.clone();
+    assert!(verdict(1, &[other.refuse(owner, 3)]).is_none());
+    assert_eq!(witness.note(owner, 3, &notes, true), Noted::Yes);
+    assert!(verdict(1, &[witness.refuse(owner, 3)]).is_some());
+    assert_eq!(witness.note(owner, 4, &notes, true), Noted::Refused);
+}
--- a/crates/router/examples/footprint.rs
+++ b/crates/router/examples/footprint.rs
@@ -107,7 +107,7 @@
     for id in &ids {
         let mut notes = Notes::default();
         notes.raise(id, owner, Tokens::new(1000));
-        notebook.note(owner, &notes, true);
+        notebook.note(owner, 1, &notes, true);
     }
     let each = micros(start) / size as f64;
     report("notebook", size, before, "note a block", each);
--- a/crates/router/src/allowance/clearing.rs
+++ b/crates/router/src/allowance/clearing.rs
@@ -28,6 +28,10 @@
     notes: Notes,
     /// The witnesses that the table names.
     declared: Vec<Incarnation>,
+    /// Counts how often they were named; what a witness noted under another epoch proves nothing.
+    epoch: u64,
+    /// Counts the tries to name witnesses.
+    tries: u64,
     /// Set while the table may name others than `declared`.
     uncertain: bool,
     /// Those that hold all totals.
@@ -55,17 +59,30 @@
         }
     }
 
-    /// Has up to `want` free tokens noted and returns how many may be spent now.
-    pub async fn clear(&self, budget: &BudgetId, want: Tokens) -> Tokens {
+    /// Has free tokens noted, up to what is wanted of each budget, in one message to each witness.
+    ///
+    /// Returns whether they may be spent now.
+    pub async fn clear(&self, wants: &[(BudgetId, Tokens)]) -> bool {
         let mut state = self.state.lock().await;
-        let parts = self.board.ledger.lock().start_clearing(budget, want);
-        if parts.is_empty() {
-            return Tokens::ZERO;
+        let mut blocks = Vec::new();
+        {
+            let mut ledger = self.board.ledger.lock();
+            for (budget, want) in wants {
+                let parts = ledger.start_clearing(budget, *want);
+                if !parts.is_empty() {
+                    blocks.push((budget.clone(), parts));
+                }
+            }
+        }
+        if blocks.is_empty() {
+            return true;
         }
-        let noted = self.note(&mut state, budget, &parts).await;
+        let noted = self.note(&mut state, &blocks).await;
         let mut ledger = self.board.ledger.lock();
-        ledger.end_clearing(budget, &parts, noted);
-        if noted { parts.total() } else { Tokens::ZERO }
+        for (budget, parts) in &blocks {
+            ledger.end_clearing(budget, parts, noted);
+        }
+        noted
     }
 
     /// Names other witnesses when one is gone or more could be had, and acknowledges closings.
@@ -82,12 +99,15 @@
         }
         let was_uncertain = std::mem::replace(&mut state.uncertain, true);
         let me = self.board.me.incarnation;
-        match self.accounts.declare(me, &wanted, &acknowledged).await {
+        // Each try has an epoch of its own, so that no two sets of witnesses ever share one.
+        state.tries += 1;
+        let epoch = state.tries;
+        let declared = self.accounts.declare(me, epoch, &wanted, &acknowledged);
+        match declared.await {
             Ok(()) => {
                 tracing::info!(witnesses = ?wanted, closed = acknowledged.len(), "witnesses named");
-                if state.declared != wanted {
-                    state.seeded.clear();
-                }
+                state.seeded.clear();
+                state.epoch = epoch;
                 state.declared = wanted;
                 state.acknowledged = acknowledged;
                 state.uncertain = false;
@@ -136,24 +156,26 @@
         closed
     }
 
-    async fn note(&self, state: &mut Witnesses, budget: &BudgetId, parts: &Parts) -> bool {
+    async fn note(&self, state: &mut Witnesses, blocks: &[(BudgetId, Parts)]) -> bool {
         if state.uncertain || self.board.ousted.load(Ordering::Acquire) {
             return false;
         }
-        state.notes.add(budget, parts);
+        let mut block = Notes::default();
+        for (budget, parts) in blocks {
+            state.notes.add(budget, parts);
+            for part in parts.iter() {
+                let total = state.notes.get(budget, part.origin);
+                block.raise(budget, part.origin, total);
+            }
+        }
         if state.declared.is_empty() {
             return true;
         }
-        let mut block = Notes::default();
-        for part in parts.iter() {
-            let total = state.notes.get(budget, part.origin);
-            block.raise(budget, part.origin, total);
-        }
         let majority = witness::majority(state.declared.len());
         let (notes, declared) = (&state.notes, state.declared.clone());
         let mut asked: FuturesUnordered<_> = declared
             .iter()
-            .map(|w| self.ask(*w, state.seeded.contains(w), &block, notes))
+            .map(|w| self.ask(*w, state.epoch, state.seeded.contains(w), &block, notes))
             .collect();
         let mut noted = Vec::new();
         while let Some(answer) = asked.next().await {
@@ -171,14 +193,15 @@
     async fn ask(
         &self,
         witness: Incarnation,
+        epoch: u64,
         seeded: bool,
         block: &Notes,
         whole: &Notes,
     ) -> Option<Incarnation> {
         let link = self.board.members.lock().link(witness)?;
         let notes = if seeded { block } else { whole };
-        let noted = match self.send(&link, notes, !seeded).await {
-            Ok(Noted::Unseeded) => self.send(&link, whole, true).await,
+        let noted = match self.send(&link, epoch, notes, !seeded).await {
+            Ok(Noted::Unseeded) => self.send(&link, epoch, whole, true).await,
             answer => answer,
         };
         match noted {
@@ -194,11 +217,12 @@
     async fn send(
         &self,
         link: &Arc<dyn Link>,
+        epoch: u64,
         notes: &Notes,
         whole: bool,
     ) -> Result<Noted, PeerError> {
         let me = self.board.me.incarnation;
-        let answer = tokio::time::timeout(NOTE, link.note(me, notes.clone(), whole));
+        let answer = tokio::time::timeout(NOTE, link.note(me, epoch, notes.clone(), whole));
         let late = |_| PeerError::Lost("the witness is late".to_owned());
         answer.await.map_err(late)?
     }
--- a/crates/router/src/allowance/round.rs
+++ b/crates/router/src/allowance/round.rs
@@ -1,6 +1,6 @@
 //! The rounds of the allowance controller.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -48,6 +48,8 @@
     known: plan::Known,
     exchanges: u64,
     unwell: u32,
+    /// Set once the row is known to be closed and what went back then is written off.
+    knows_closed: bool,
     done: watch::Sender<u64>,
 }
 
@@ -65,6 +67,7 @@
             known: plan::Known::default(),
             exchanges: 0,
             unwell: 0,
+            knows_closed: false,
             done: watch::Sender::new(0),
         }
     }
@@ -108,10 +111,8 @@
             Store::Answered => std::mem::take(&mut self.short),
             Store::Silent => self.lacking(&waiting),
         };
-        for budget in self.wanting() {
-            let short = short.get(&budget).copied().unwrap_or_default();
-            self.serve(&budget, short, round, store).await;
-        }
+        let wanting = self.wanting();
+        self.serve(&wanting, &short, round, store).await;
         self.done.send_replace(round);
     }
 
@@ -120,6 +121,9 @@
         if self.board.fence() == 0 {
             return self.board.ledger.lock().purses().next().is_none();
         }
+        if !self.accept_closing().await {
+            return false;
+        }
         if let Some(ask) = self.pending.take()
             && self.ask(ask).await == Store::Silent
         {
@@ -144,6 +148,25 @@
         self.ask(ask).await == Store::Answered
     }
 
+    /// Takes over how peers closed this router's row; returns whether its tokens may be given back.
+    async fn accept_closing(&mut self) -> bool {
+        if !self.board.ousted.load(Ordering::Acquire) || self.knows_closed {
+            return true;
+        }
+        let me = self.board.me.incarnation;
+        let Ok(row) = self.accounts.allowance(me).await else {
+            return false;
+        };
+        let Some(closing) = row.and_then(|row| row.closed) else {
+            return false;
+        };
+        if closing.noted.is_some() {
+            self.board.ledger.lock().write_off_unnoted();
+        }
+        self.knows_closed = true;
+        true
+    }
+
     /// Opens this incarnation's row, once.
     async fn register(&mut self) {
         if self.board.fence() != 0 {
@@ -164,7 +187,7 @@
 
     /// Asks the table what the last round left open, or else what is planned now.
     async fn exchange(&mut self) -> Store {
-        if self.board.fence() == 0 {
+        if self.board.fence() == 0 || !self.accept_closing().await {
             return Store::Silent;
         }
         if let Some(ask) = self.pending.take()
@@ -183,7 +206,8 @@
     }
 
     /// Asks the table for one exchange and keeps it for later if its answer is lost.
-    async fn ask(&mut self, ask: Exchange) -> Store {
+    async fn ask(&mut self, mut ask: Exchange) -> Store {
+        ask.knows_closed = self.knows_closed;
         self.exchanges = ask.number;
         let me = self.board.me.incarnation;
         let policy = self.policy();
@@ -269,33 +293,49 @@
         waiting.iter().map(lacks).collect()
     }
 
-    /// Serves one budget's need from peers and witnesses, and notes what was found.
+    /// Serves needs from peers and witnesses, and notes what was found for each.
     ///
     /// `short` is what the table lacked for requests that waited when it was asked. What others
     /// spent meanwhile doesn't count: a later round asks for that.
-    async fn serve(&mut self, budget: &BudgetId, short: Tokens, round: u64, store: Store) {
-        let mut taken = Tokens::ZERO;
-        if !short.is_zero() {
-            taken = self.taking.take(&self.board, budget, short).await;
+    async fn serve(
+        &mut self,
+        budgets: &[BudgetId],
+        short: &HashMap<BudgetId, Tokens>,
+        round: u64,
+        store: Store,
+    ) {
+        let mut lacking = HashSet::new();
+        for budget in budgets {
+            let short = short.get(budget).copied().unwrap_or_default();
+            if !short.is_zero() && self.taking.take(&self.board, budget, short).await < short {
+                lacking.insert(budget.clone());
+            }
         }
-        let (waiting, rate) = {
-            let mut needs = self.board.needs.lock();
-            let need = needs.need(budget);
-            (need.waiting(), need.demand.rate(self.board.now()))
-        };
-        let block = Tokens::new((rate * BLOCK_SECONDS) as u64).max(LEAST_BLOCK);
-        let noted = self.clearing.clear(budget, waiting.max(block)).await;
-        let verdict = match store {
-            Store::Answered if taken < short => Verdict::Empty,
-            Store::Silent if taken < short => Verdict::Unreachable,
-            _ if noted.is_zero() && self.is_stuck(budget, waiting) => Verdict::Unwitnessed,
-            _ => return,
-        };
-        self.board.needs.lock().conclude(budget, round, verdict);
+        let wants: Vec<_> = budgets.iter().map(|b| (b.clone(), self.block(b))).collect();
+        let noted = self.clearing.clear(&wants).await;
+        for budget in budgets {
+            let verdict = match store {
+                Store::Answered if lacking.contains(budget) => Verdict::Empty,
+                Store::Silent if lacking.contains(budget) => Verdict::Unreachable,
+                _ if !noted && self.is_stuck(budget) => Verdict::Unwitnessed,
+                _ => continue,
+            };
+            self.board.needs.lock().conclude(budget, round, verdict);
+        }
+    }
+
+    /// Returns how much of a budget to have noted: what waits, or some seconds of demand.
+    fn block(&self, budget: &BudgetId) -> Tokens {
+        let mut needs = self.board.needs.lock();
+        let need = needs.need(budget);
+        let rate = need.demand.rate(self.board.now());
+        let ahead = Tokens::new((rate * BLOCK_SECONDS) as u64);
+        need.waiting().max(ahead).max(LEAST_BLOCK)
     }
 
     /// Returns whether enough is held, but too little of it is noted.
-    fn is_stuck(&self, budget: &BudgetId, waiting: Tokens) -> bool {
+    fn is_stuck(&self, budget: &BudgetId) -> bool {
+        let waiting = self.board.needs.lock().need(budget).waiting();
         let ledger = self.board.ledger.lock();
         let purse = ledger.purse(budget);
         purse.is_some_and(|purse| purse.cleared() < waiting && !purse.free().is_zero())
--- a/crates/router/src/billing.rs
+++ b/crates/router/src/billing.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fescue_core::{BudgetId, RequestId, Tokens};
+use fescue_platform::TableError;
 use fescue_platform::billing::Billing;
 use fescue_policy::bills::{Bill, BillId, Entered};
 use fescue_policy::ledger::Reservation;
@@ -99,6 +100,9 @@
             }
             match self.billing.enter(&batch).await {
                 Ok(entered) => self.conclude(&batch, &entered),
+                Err(TableError::Refused(_)) if batch.len() > 1 => {
+                    return self.flush_each(&batch).await;
+                }
                 Err(error) => {
                     self.board.metrics.store_failures.inc();
                     tracing::warn!(%error, bills = batch.len(), "bills wait for the table");
@@ -108,6 +112,22 @@
         }
     }
 
+    /// Stores bills one by one, so that one that a line can't pay doesn't hold up the others.
+    async fn flush_each(&self, batch: &[Bill]) -> bool {
+        let mut all = true;
+        for bill in batch {
+            let alone = std::slice::from_ref(bill);
+            match self.billing.enter(alone).await {
+                Ok(entered) => self.conclude(alone, &entered),
+                Err(error) => {
+                    all = false;
+                    tracing::error!(%error, request = %bill.request, "a bill can't be stored");
+                }
+            }
+        }
+        all
+    }
+
     /// Returns the fingerprint of a request that is known to have been billed.
     pub async fn body_of(&self, budget: &BudgetId, request: &RequestId) -> Option<u64> {
         self.billing.body_of(budget.team(), request).await
--- a/crates/router/src/closing.rs
+++ b/crates/router/src/closing.rs
@@ -15,7 +15,7 @@
 use crate::blackboard::Board;
 
 /// How often the duty is looked at.
-const PACE: Duration = Duration::from_secs(1);
+const PACE: Duration = Duration::from_secs(2);
 
 /// The key by which the router that looks after closings is found.
 const DUTY: u64 = 0x636c_6f73;
@@ -82,7 +82,7 @@
 
     /// Closes one router's allowances; what its witnesses prove unspent goes back.
     async fn close(&mut self, owner: Incarnation, row: &AllowanceRow) {
-        let reports = self.refuse(owner, &row.witnesses).await;
+        let reports = self.refuse(owner, row).await;
         let noted = witness::verdict(row.witnesses.len(), &reports);
         let proved = noted.is_some();
         let by = format!("closed-by-{}", self.board.me.incarnation);
@@ -90,7 +90,7 @@
             return;
         };
         let closing = Closing { by, noted };
-        let closed = self.accounts.close(owner, &row.witnesses, &closing).await;
+        let closed = self.accounts.close(owner, row.epoch, &closing).await;
         match closed {
             Ok(refunds) => {
                 self.board.closed.lock().insert(owner);
@@ -101,17 +101,17 @@
     }
 
     /// Has the witnesses of a row refuse its owner and returns their reports.
-    async fn refuse(&self, owner: Incarnation, named: &[Incarnation]) -> Vec<witness::Report> {
+    async fn refuse(&self, owner: Incarnation, row: &AllowanceRow) -> Vec<witness::Report> {
         let mut reports = Vec::new();
-        for name in named {
+        for name in &row.witnesses {
             if *name == self.board.me.incarnation {
-                reports.push(self.board.notebook.lock().refuse(owner));
+                reports.push(self.board.notebook.lock().refuse(owner, row.epoch));
                 continue;
             }
             let Some(link) = self.board.members.lock().link(*name) else {
                 continue;
             };
-            match link.refuse(owner).await {
+            match link.refuse(owner, row.epoch).await {
                 Ok((incarnation, report)) if incarnation == *name => reports.push(report),
                 _ => {}
             }
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -53,7 +53,7 @@
     let by = format!("stopped-{me}");
     let Ok(by) = by.parse() else { return };
     let closing = Closing { by, noted: None };
-    let closed = accounts.close(me, &row.witnesses, &closing).await;
+    let closed = accounts.close(me, row.epoch, &closing).await;
     let folded = accounts.fold(me).await;
     tracing::info!(
         closed = closed.is_ok(),
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -85,7 +85,8 @@
         let more = spare.saturating_sub(cleared);
         if !more.is_zero() {
             // What is handed over counts as spent here, so it is noted first.
-            self.clearing.clear(&take.budget, more).await;
+            let wants = [(take.budget.clone(), more)];
+            self.clearing.clear(&wants).await;
         }
         let mut ledger = self.board.ledger.lock();
         let mut given = self.board.given.lock();
@@ -101,12 +102,23 @@
         Ok(answer)
     }
 
-    async fn note(&self, from: Incarnation, notes: Notes, whole: bool) -> Result<Noted, PeerError> {
-        Ok(self.board.notebook.lock().note(from, &notes, whole))
+    async fn note(
+        &self,
+        from: Incarnation,
+        epoch: u64,
+        notes: Notes,
+        whole: bool,
+    ) -> Result<Noted, PeerError> {
+        let mut notebook = self.board.notebook.lock();
+        Ok(notebook.note(from, epoch, &notes, whole))
     }
 
-    async fn refuse(&self, owner: Incarnation) -> Result<(Incarnation, Report), PeerError> {
-        let report = self.board.notebook.lock().refuse(owner);
+    async fn refuse(
+        &self,
+        owner: Incarnation,
+        epoch: u64,
+    ) -> Result<(Incarnation, Report), PeerError> {
+        let report = self.board.notebook.lock().refuse(owner, epoch);
         Ok((self.board.me.incarnation, report))
     }
 
--- a/crates/router/tests/suite/fleet/wire.rs
+++ b/crates/router/tests/suite/fleet/wire.rs
@@ -172,14 +172,24 @@
         self.answer(self.link.take(take).await)
     }
 
-    async fn note(&self, from: Incarnation, notes: Notes, whole: bool) -> Result<Noted, PeerError> {
+    async fn note(
+        &self,
+        from: Incarnation,
+        epoch: u64,
+        notes: Notes,
+        whole: bool,
+    ) -> Result<Noted, PeerError> {
         self.pass()?;
-        self.answer(self.link.note(from, notes, whole).await)
+        self.answer(self.link.note(from, epoch, notes, whole).await)
     }
 
-    async fn refuse(&self, owner: Incarnation) -> Result<(Incarnation, Report), PeerError> {
+    async fn refuse(
+        &self,
+        owner: Incarnation,
+        epoch: u64,
+    ) -> Result<(Incarnation, Report), PeerError> {
         self.pass()?;
-        self.answer(self.link.refuse(owner).await)
+        self.answer(self.link.refuse(owner, epoch).await)
     }
 
     async fn keep(&self, owner: Incarnation, copies: Copies) -> Result<(), PeerError> {
