--- a/crates/router/src/allowance/round.rs
+++ b/crates/router/src/allowance/round.rs
@@ -153,6 +153,13 @@
         if !self.board.ousted.load(Ordering::Acquire) || self.knows_closed {
             return true;
         }
+        // What an earlier exchange drew is part of what the closing gave back, so it is found first.
+        if let Some(ask) = self.pending.take() {
+            self.ask(ask).await;
+        }
+        if self.pending.is_some() {
+            return false;
+        }
         let me = self.board.me.incarnation;
         let Ok(row) = self.accounts.allowance(me).await else {
             return false;
--- a/crates/router/tests/suite/money_deaths.rs
+++ b/crates/router/tests/suite/money_deaths.rs
@@ -132,3 +132,96 @@
     fleet.check().await;
     assert_eq!(fleet.bills().await.get("r-1"), Some(&300));
 }
+
+/// A witness is away while its router spends without it, and is named again: until it has all
+/// totals, its word gives nothing back.
+#[tokio::test(start_paused = true)]
+async fn witness_named_again_proves_nothing_yet() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2", "dakar-2"]).await;
+    fleet.top_up("first", 5000).await.expect("the store is up");
+    let first = fleet.node(0).reserve(10).await.expect("it is covered");
+    fleet.faults.cut(0, 1);
+    fleet.pass(6).await;
+    let alone = fleet
+        .node(0)
+        .reserve(2000)
+        .await
+        .expect("no witness is named now");
+    fleet.faults.clear();
+    fleet.pass(2).await;
+    fleet.node(0).rounds.round().await;
+    fleet.freeze(0);
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.check().await;
+    fleet.thaw(0);
+    fleet.node(0).finish(first, "r-1", 10).await;
+    fleet.node(0).finish(alone, "r-2", 2000).await;
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.len(), 2);
+}
+
+/// A router is closed while a request runs, wakes, and gives back what is left: what the closing
+/// gave back is not given back again, so the request can still be paid.
+#[tokio::test(start_paused = true)]
+async fn woken_router_gives_nothing_back_twice() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2"]).await;
+    fleet
+        .top_up("first", 100_000)
+        .await
+        .expect("the store is up");
+    let warm = fleet.node(0).reserve(3000).await.expect("it is covered");
+    fleet.node(0).finish(warm, "warm", 3000).await;
+    fleet.node(0).rounds.round().await;
+    let running = fleet.node(0).reserve(700).await.expect("it is covered");
+    fleet.freeze(0);
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.thaw(0);
+    fleet.pass(30).await;
+    fleet.node(0).rounds.round().await;
+    fleet.node(0).rounds.round().await;
+    fleet.check().await;
+    fleet.node(0).finish(running, "r-1", 700).await;
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&700));
+}
+
+/// A draw's answer is lost and the router is closed before it learns of it: the closing gave these
+/// tokens back, so they are not given back again once the draw is found.
+#[tokio::test(start_paused = true)]
+async fn draw_found_after_closing_is_written_off() {
+    let mut fleet = Fleet::start(&["dakar-1", "dakar-1", "dakar-2"]).await;
+    fleet
+        .top_up("first", 50_000)
+        .await
+        .expect("the store is up");
+    let running = fleet.node(0).reserve(300).await.expect("it is covered");
+    fleet.delay_store_writes(8);
+    let _late = fleet.node(0).reserve(4000).await;
+    fleet.freeze(0);
+    assert!(
+        fleet.memory.let_late_in() > 0,
+        "the draw takes effect unseen"
+    );
+    fleet.delay_store_writes(0);
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.pass(8).await;
+    fleet.work().await;
+    fleet.thaw(0);
+    fleet.pass(30).await;
+    fleet.node(0).rounds.round().await;
+    fleet.node(0).rounds.round().await;
+    fleet.check().await;
+    fleet.node(0).finish(running, "r-1", 300).await;
+    fleet.heal().await;
+    fleet.check().await;
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&300));
+}
