Have the story of releases wait for what it says

Cause: its early release was refused because the row was still open, its duty holder being cut off the store, and the second router had taken nothing from the first; a release without acknowledgements passed it. Change: the second router now holds tokens of the first, and the refusal must name it. That a duty holder cut off the store keeps the duty is listed as open.

--- a/crates/router/tests/suite/money_deaths.rs
+++ b/crates/router/tests/suite/money_deaths.rs
@@ -1,5 +1,8 @@
 //! Told stories of routers that die, freeze or are cut off for good, and of the money they held.
 
+use fescue_platform::TableError;
+use fescue_policy::account::AccountError;
+
 use crate::fleet::{Fleet, budget};
 
 /// A router dies after the last byte and before its flush: the peers' copies bill the request.
@@ -113,24 +116,28 @@
     let mut fleet = Fleet::start(&["dakar-1", "dakar-2", "dakar-2"]).await;
     fleet.top_up("first", 1000).await.expect("the store is up");
     let owner = fleet.node(0).board.me.incarnation;
-    let _lost = fleet.node(0).reserve(600).await.expect("it is covered");
-    // The second router takes some of the first one's tokens and then loses the store.
-    let taken = fleet.node(1).reserve(300).await.expect("it is covered");
+    let warm = fleet.node(0).reserve(600).await.expect("it is covered");
+    fleet.node(0).finish(warm, "warm", 100).await;
+    // The second router takes some of the first one's tokens and has not used them yet.
+    let taken = fleet.node(1).reserve(700).await.expect("a peer hands over");
     fleet.kill(0);
-    fleet.faults.cut_store(1);
     fleet.pass(8).await;
     fleet.work().await;
     fleet.pass(8).await;
     fleet.work().await;
+    // The third router holds none of them and acknowledges.
+    fleet.pass(2).await;
+    fleet.work().await;
     let id = budget();
     let early = fleet.accounts().release(owner, &id).await;
-    assert!(early.is_err(), "the second router may still bill");
-    fleet.node(1).finish(taken, "r-1", 300).await;
+    let waits = TableError::Refused(AccountError::Unacknowledged("vm-1".parse().expect("a vm")));
+    assert_eq!(early, Err(waits), "the second router may still bill");
+    fleet.node(1).finish(taken, "r-1", 700).await;
     fleet.heal().await;
     let released = fleet.accounts().release(owner, &id).await;
     released.expect("all have acknowledged");
     fleet.check().await;
-    assert_eq!(fleet.bills().await.get("r-1"), Some(&300));
+    assert_eq!(fleet.bills().await.get("r-1"), Some(&700));
 }
 
 /// A witness is away while its router spends without it, and is named again: until it has all
