Make one piece of code serve where two stood

Cause: a last reading of the whole change. The digest of a team's key was worked out in the router and in fescuectl; the stop and the rounds resolved a closing and a lost exchange each in lines of its own; a block's demand was reckoned twice; Ledger::held had no caller; five stories spelled out the wait for a closing. Change: fescue_core::hash::key_digest, Rounds::resolve, ahead, and Fleet::wait_for_closing take their places; the unused method goes. Conclusion: behaviour is as it was. The verbs of fescuectl's commands stay alike: argh wants a type for each.

--- a/crates/ctl/src/cmd/team.rs
+++ b/crates/ctl/src/cmd/team.rs
@@ -1,11 +1,11 @@
 //! `team`: the teams and their keys.
 
 use argh::FromArgs;
+use fescue_core::hash::key_digest;
 use fescue_core::rules::{Delta, Line};
 use fescue_core::{TeamId, Weight};
 use rand::Rng;
 use serde_json::json;
-use sha2::{Digest, Sha256};
 
 use super::rules;
 use crate::client::Client;
@@ -70,10 +70,7 @@
         )));
     }
     let key = format!("fk-{:032x}", rand::rng().random::<u128>());
-    let digest: String = Sha256::digest(&key)
-        .iter()
-        .map(|b| format!("{b:02x}"))
-        .collect();
+    let digest = key_digest(&key);
     let Add { name, author, .. } = &ask;
     let (weight, priorities) = (ask.weight, &ask.priorities);
     let team = format!(
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -191,12 +191,6 @@
         !self.purses.values().any(held)
     }
 
-    /// Returns all that is held of each origin's line of a budget.
-    pub fn held(&self, budget: &BudgetId, origin: Incarnation) -> Tokens {
-        let lot = self.purses.get(budget).and_then(|purse| purse.lot(origin));
-        lot.map_or(Tokens::ZERO, Lot::total)
-    }
-
     fn purse_mut(&mut self, budget: &BudgetId) -> &mut Purse {
         if !self.purses.contains_key(budget) {
             self.purses.insert(budget.clone(), Purse::default());
--- a/crates/router/src/allowance/round.rs
+++ b/crates/router/src/allowance/round.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use fescue_core::{BudgetId, Incarnation, Tokens};
 use fescue_platform::TableError;
@@ -16,7 +17,7 @@
 use super::clearing::Clearing;
 use super::plan;
 use super::taking::Taking;
-use crate::blackboard::{Board, Verdict};
+use crate::blackboard::{Board, Need, Verdict};
 
 /// How many seconds of demand one block covers.
 const BLOCK_SECONDS: f64 = 5.0;
@@ -121,12 +122,7 @@
         if self.board.fence() == 0 {
             return self.board.ledger.lock().purses().next().is_none();
         }
-        if !self.accept_closing().await {
-            return false;
-        }
-        if let Some(ask) = self.pending.take()
-            && self.ask(ask).await == Store::Silent
-        {
+        if self.resolve().await == Store::Silent {
             return false;
         }
         let mut ask = Exchange::default();
@@ -148,6 +144,17 @@
         self.ask(ask).await == Store::Answered
     }
 
+    /// Takes over a closing and finds a lost exchange, before anything new is asked.
+    async fn resolve(&mut self) -> Store {
+        if !self.accept_closing().await {
+            return Store::Silent;
+        }
+        match self.pending.take() {
+            Some(ask) => self.ask(ask).await,
+            None => Store::Answered,
+        }
+    }
+
     /// Takes over how peers closed this router's row; returns whether its tokens may be given back.
     async fn accept_closing(&mut self) -> bool {
         if !self.board.ousted.load(Ordering::Acquire) || self.knows_closed {
@@ -194,12 +201,7 @@
 
     /// Asks the table what the last round left open, or else what is planned now.
     async fn exchange(&mut self) -> Store {
-        if self.board.fence() == 0 || !self.accept_closing().await {
-            return Store::Silent;
-        }
-        if let Some(ask) = self.pending.take()
-            && self.ask(ask).await == Store::Silent
-        {
+        if self.board.fence() == 0 || self.resolve().await == Store::Silent {
             return Store::Silent;
         }
         self.known.unwell = self.unwell > 0;
@@ -281,8 +283,8 @@
         for (budget, need) in needs.iter_mut() {
             let purse = ledger.purse(budget);
             let cleared = purse.map_or(Tokens::ZERO, |purse| purse.cleared());
-            let block = Tokens::new((need.demand.rate(now) * BLOCK_SECONDS) as u64);
-            let low = cleared < block && purse.is_some_and(|purse| !purse.free().is_zero());
+            let low =
+                cleared < ahead(need, now) && purse.is_some_and(|purse| !purse.free().is_zero());
             if low || need.waiting() > cleared {
                 wanting.push(budget.clone());
             }
@@ -335,8 +337,7 @@
     fn block(&self, budget: &BudgetId) -> Tokens {
         let mut needs = self.board.needs.lock();
         let need = needs.need(budget);
-        let rate = need.demand.rate(self.board.now());
-        let ahead = Tokens::new((rate * BLOCK_SECONDS) as u64);
+        let ahead = ahead(need, self.board.now());
         need.waiting().max(ahead).max(LEAST_BLOCK)
     }
 
@@ -349,6 +350,11 @@
     }
 }
 
+/// Returns the demand that one block covers.
+fn ahead(need: &mut Need, now: Duration) -> Tokens {
+    Tokens::new((need.demand.rate(now) * BLOCK_SECONDS) as u64)
+}
+
 /// Returns what an exchange drew less than waiting requests needed.
 fn shortfalls(ask: &Exchange, drawn: &IndexMap<BudgetId, Tokens>) -> HashMap<BudgetId, Tokens> {
     let short = |(budget, outlook): (&BudgetId, &Outlook)| {
--- a/crates/router/src/blackboard.rs
+++ b/crates/router/src/blackboard.rs
@@ -14,7 +14,7 @@
 mod rules;
 
 pub use members::{Member, Members};
-pub use needs::{Needs, Verdict};
+pub use needs::{Need, Needs, Verdict};
 pub use recent::Recent;
 pub use rules::{Rules, Taken};
 
--- a/crates/router/src/front/caller.rs
+++ b/crates/router/src/front/caller.rs
@@ -1,13 +1,13 @@
 //! Who calls, and what the headers of a request say.
 
 use axum::http::{HeaderMap, header};
+use fescue_core::hash::key_digest;
 use fescue_core::outcome::Reason;
 use fescue_core::rules::Team;
 use fescue_core::{BudgetId, Priority, Refusal, RequestId};
 
 use crate::blackboard::Board;
 use crate::lifecycle::Phase;
-use crate::secrets::key_digest;
 
 /// The header with which a caller makes its request repeatable.
 const KEY: &str = "idempotency-key";
--- a/crates/router/src/secrets.rs
+++ b/crates/router/src/secrets.rs
@@ -64,9 +64,3 @@
     miette::ensure!(!text.is_empty(), "{name} holds no token");
     Ok(Secret::new(text))
 }
-
-/// Returns the digest by which rules name a team's key.
-pub fn key_digest(key: &str) -> String {
-    let digest = Sha256::digest(key);
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/router/tests/suite/fleet.rs
+++ b/crates/router/tests/suite/fleet.rs
@@ -202,6 +202,14 @@
         }
     }
 
+    /// Lets so much time pass that routers which are silent are noticed and then closed.
+    pub async fn wait_for_closing(&mut self) {
+        for _ in 0..2 {
+            self.pass(8).await;
+            self.work().await;
+        }
+    }
+
     /// Ends all faults and works until everything has settled.
     pub async fn heal(&mut self) {
         self.faults.clear();
--- a/crates/router/tests/suite/money_deaths.rs
+++ b/crates/router/tests/suite/money_deaths.rs
@@ -72,10 +72,7 @@
     fleet.top_up("first", 2000).await.expect("the store is up");
     let running = fleet.node(0).reserve(100).await.expect("it is covered");
     fleet.freeze(0);
-    fleet.pass(8).await;
-    fleet.work().await;
-    fleet.pass(8).await;
-    fleet.work().await;
+    fleet.wait_for_closing().await;
     fleet.check().await;
     fleet.thaw(0);
     // Without the table it can only learn of the closing from its witnesses.
@@ -121,10 +118,7 @@
     // The second router takes some of the first one's tokens and has not used them yet.
     let taken = fleet.node(1).reserve(700).await.expect("a peer hands over");
     fleet.kill(0);
-    fleet.pass(8).await;
-    fleet.work().await;
-    fleet.pass(8).await;
-    fleet.work().await;
+    fleet.wait_for_closing().await;
     // The third router holds none of them and acknowledges.
     fleet.pass(2).await;
     fleet.work().await;
@@ -158,10 +152,7 @@
     fleet.pass(2).await;
     fleet.node(0).rounds.round().await;
     fleet.freeze(0);
-    fleet.pass(8).await;
-    fleet.work().await;
-    fleet.pass(8).await;
-    fleet.work().await;
+    fleet.wait_for_closing().await;
     fleet.check().await;
     fleet.thaw(0);
     fleet.node(0).finish(first, "r-1", 10).await;
@@ -185,10 +176,7 @@
     fleet.node(0).rounds.round().await;
     let running = fleet.node(0).reserve(700).await.expect("it is covered");
     fleet.freeze(0);
-    fleet.pass(8).await;
-    fleet.work().await;
-    fleet.pass(8).await;
-    fleet.work().await;
+    fleet.wait_for_closing().await;
     fleet.thaw(0);
     fleet.pass(30).await;
     fleet.node(0).rounds.round().await;
@@ -218,10 +206,7 @@
         "the draw takes effect unseen"
     );
     fleet.delay_store_writes(0);
-    fleet.pass(8).await;
-    fleet.work().await;
-    fleet.pass(8).await;
-    fleet.work().await;
+    fleet.wait_for_closing().await;
     fleet.thaw(0);
     fleet.pass(30).await;
     fleet.node(0).rounds.round().await;
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -10,13 +10,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use fescue_core::hash::key_digest;
 use fescue_core::rules::{Book, Delta};
 use fescue_core::{BudgetId, Tokens};
 use fescue_platform::accounts::Accounts;
 use fescue_platform::billing::Billing;
 use fescue_platform::config::{Applied, Config};
 use fescue_platform::{Vm, VmState};
-use fescue_router::secrets::key_digest;
 use fescue_standin::caller::{Answer, Ask, Caller};
 use fescue_standin::engine::{self, Engine, Profile};
 use fescue_standin::platform::{self, Memory};
