budget: bound what a dead process can have spent by a license that accrues over time

Change: a VM's row states an amount and a rate from the store's clock; the next process of the VM gives back what the license can't have allowed.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -12,7 +12,7 @@
 use crate::gateway::Gateway;
 
 /// How long one call waits for changes; a connection that went silent is noticed soon after.
-const WAIT: Duration = Duration::from_millis(1500);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// The first pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -29,7 +29,7 @@
         topic,
         version: None,
         failures: 0,
-        returned: None,
+        returned: false,
     };
     loop {
         follower.step().await;
@@ -43,8 +43,8 @@
     /// Up to which version changes have been read; `None` where a list is needed.
     version: Option<u64>,
     failures: u32,
-    /// When the store answered again after it had failed.
-    returned: Option<Instant>,
+    /// Whether this answer is the first after the store had failed.
+    returned: bool,
 }
 
 impl Follower {
@@ -71,10 +71,10 @@
     }
 
     fn take(&mut self, batch: Batch) {
-        if self.failures > 0 {
+        self.returned = self.failures > 0;
+        if self.returned {
             tracing::info!(topic = ?self.topic, failures = self.failures, "store answers again");
             self.failures = 0;
-            self.returned = Some(Instant::now());
         }
         let list = self.version.is_none();
         let mut listed = Vec::new();
@@ -84,7 +84,8 @@
             }
         }
         if list && self.topic == Topic::Upstreams {
-            self.gateway.servers.lock().mark_missing(&listed);
+            let grace = self.gateway.settings.relist;
+            self.gateway.servers.lock().mark_missing(&listed, grace);
         }
         self.version = Some(batch.version);
         let count = self.gateway.servers.lock().len();
@@ -118,12 +119,12 @@
                 Some(id)
             }
             Entry::Removed(id) => {
-                let recent = self.returned.map(|at| at.elapsed());
-                let lapsed = recent.is_some_and(|since| since < self.gateway.settings.relist);
+                // What was removed while the store was away may be listed again soon.
+                let lapsed = self.returned;
                 tracing::info!(upstream = id.as_str(), lapsed, "upstream no longer listed");
                 let mut servers = self.gateway.servers.lock();
                 if lapsed {
-                    servers.mark_removed(&id);
+                    servers.mark_removed(&id, self.gateway.settings.relist);
                 } else {
                     servers.remove(&id);
                 }
@@ -158,8 +159,7 @@
         if self.topic != Topic::Upstreams || self.failures > 0 {
             return;
         }
-        let limit = self.gateway.settings.relist;
-        let gone = self.gateway.servers.lock().drop_missing(limit);
+        let gone = self.gateway.servers.lock().drop_missing();
         for id in gone {
             tracing::info!(upstream = id.as_str(), "upstream is still missing; it is gone");
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use fescue_policy::escrow::{Escrow, Reserved};
 use fescue_policy::quarantine::{Standing, Suspects};
 use fescue_policy::window::{Budget, RetryWindow};
+use fescue_store::table::Table;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -32,6 +33,8 @@
     pub incarnation: Incarnation,
     /// How callers and upstreams write heads.
     pub dialect: Box<dyn Dialect>,
+    /// The store's tables.
+    pub table: Arc<dyn Table>,
     /// Its metrics.
     pub metrics: Metrics,
     /// The upstreams.
@@ -62,11 +65,16 @@
 
 impl Gateway {
     /// Opens the tables of a process that starts.
-    pub fn open(settings: Settings, dialect: Box<dyn Dialect>) -> Arc<Self> {
+    pub fn open(
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+        table: Arc<dyn Table>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             settings,
             incarnation: Incarnation::new(rand::random()),
             dialect,
+            table,
             metrics: Metrics::default(),
             servers: Mutex::default(),
             escrow: Mutex::default(),
@@ -152,8 +160,9 @@
 
     /// Sets tokens of a team aside.
     pub fn reserve(&self, team: &TeamId, tokens: Tokens) -> Reserved {
+        let clock = self.table.clock().unwrap_or_default();
         let mut escrow = self.escrow.lock();
-        let reserved = escrow.balance(team).reserve(tokens);
+        let reserved = escrow.balance(team).reserve(tokens, clock);
         drop(escrow);
         if reserved != Reserved::Done {
             self.need.notify_one();
@@ -161,6 +170,14 @@
         reserved
     }
 
+    /// Follows the teams' rates of spending.
+    pub fn observe_spending(&self, elapsed: Duration) {
+        let mut escrow = self.escrow.lock();
+        for (_, balance) in escrow.iter_mut() {
+            balance.observe(elapsed);
+        }
+    }
+
     /// Returns what is thought of a request's fingerprint.
     pub fn standing(&self, fingerprint: u64) -> Standing {
         self.suspects.lock().standing(fingerprint, self.now())
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -59,7 +59,7 @@
         table,
         dialect,
     } = platform;
-    let gateway = Gateway::open(settings, dialect);
+    let gateway = Gateway::open(settings, dialect, Arc::clone(&table));
     tracing::info!(
         vm = gateway.settings.vm.as_str(),
         data_centre = gateway.settings.data_centre.as_str(),
@@ -108,7 +108,7 @@
     let emptied = running.wait_for(|running| *running == 0);
     let emptied = timeout_at(end - GIVE_BACK, emptied).await.is_ok();
     let open = *gateway.running.borrow();
-    let given = timeout_at(end, budget::give_back(gateway, table)).await;
+    let given = timeout_at(end, budget::round(gateway, table, budget::Goal::Stop)).await;
     tracing::info!(emptied, open, given = given.unwrap_or(false), "stopping");
     let emptied = async {
         let mut running = gateway.running.subscribe();
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -41,6 +41,7 @@
     breaker: Breaker,
     /// Requests that broke here lately, by fingerprint.
     broken: Vec<(u64, Instant)>,
+    /// Until when it may be used although it is no longer listed.
     missing: Option<Instant>,
 }
 
@@ -129,8 +130,23 @@
         work / f64::from(self.entry.slots.max(1))
     }
 
+    fn mark_missing(&self, grace: Duration) {
+        let mut state = self.state.lock();
+        state.missing.get_or_insert_with(|| Instant::now() + grace);
+    }
+
+    /// Returns whether it is listed, or may be used as if it were.
+    fn is_listed(&self) -> bool {
+        let missing = self.state.lock().missing;
+        missing.is_none_or(|until| Instant::now() < until)
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.entry.draining && self.is_listed()
+    }
+
     fn accepts(&self, now: Duration) -> bool {
-        !self.entry.draining && self.state.lock().breaker.allows(now)
+        self.is_usable() && self.state.lock().breaker.allows(now)
     }
 }
 
@@ -204,30 +220,24 @@
     }
 
     /// Notes that upstreams which aren't among `listed` are missing from a full list.
-    pub fn mark_missing(&mut self, listed: &[UpstreamId]) {
+    pub fn mark_missing(&mut self, listed: &[UpstreamId], grace: Duration) {
         for (id, server) in &self.table {
             if !listed.contains(id) {
-                let mut state = server.state.lock();
-                state.missing.get_or_insert_with(Instant::now);
+                server.mark_missing(grace);
             }
         }
     }
 
     /// Notes that an upstream is missing, without dropping it yet.
-    pub fn mark_removed(&mut self, id: &UpstreamId) {
+    pub fn mark_removed(&mut self, id: &UpstreamId, grace: Duration) {
         if let Some(server) = self.table.get(id) {
-            let mut state = server.state.lock();
-            state.missing.get_or_insert_with(Instant::now);
+            server.mark_missing(grace);
         }
     }
 
     /// Drops upstreams that have been missing for too long; returns them.
-    pub fn drop_missing(&mut self, limit: Duration) -> Vec<UpstreamId> {
-        let late = |server: &Arc<Server>| {
-            let missing = server.state.lock().missing;
-            missing.is_some_and(|since| since.elapsed() >= limit)
-        };
-        let late = self.table.iter().filter(|(_, server)| late(server));
+    pub fn drop_missing(&mut self) -> Vec<UpstreamId> {
+        let late = self.table.iter().filter(|(_, server)| !server.is_listed());
         let late: Vec<_> = late.map(|(id, _)| id.clone()).collect();
         for id in &late {
             self.table.remove(id);
@@ -257,7 +267,7 @@
             // All that are left failed lately; one of them may still serve.
             let listed = |server: &&Arc<Server>| {
                 server.entry.service == *demand.service
-                    && !server.entry.draining
+                    && server.is_usable()
                     && !demand.tried.contains(&server.entry.id)
             };
             servers = self.table.values().filter(listed).collect();
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -1,64 +1,70 @@
 //! What one router may spend of each team's prepaid tokens.
 //!
-//! The store holds one account a team: the tokens granted to all routers together, and each VM's
-//! part. A router spends only what its VM's part grants, so no clock and no peer is needed for the
-//! sum to stay within what was prepaid. Whatever a router that died had not spent stays granted.
-//! See [docs/design/platform.md](../../../docs/design/platform.md).
+//! The store holds an account a team, with the tokens granted to all routers together, and a row a
+//! VM, with what is granted to its process. A router spends only what its row grants, so the sum
+//! stays within what was prepaid with no clock and no message between routers.
+//!
+//! What a process held when it died would be lost, as nobody knows what it had spent. So its row
+//! also bounds its spending over time: by the store's clock, a [`License`] allows an amount at once
+//! and a rate from then on. The next process of the same VM knows that the one before it is dead,
+//! and gives back what the license can't have allowed until then. The bound holds even when the
+//! dead process was cut off from the store. See
+//! [docs/design/platform.md](../../../docs/design/platform.md).
 
 use std::time::Duration;
 
-use fescue_core::{Incarnation, TeamId, Tokens, VmId, record};
+use fescue_core::{Incarnation, TeamId, Tokens, record};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 record! {
-    /// One VM's part of an account.
-    pub struct Part {
-        /// The process that it was granted to.
-        pub incarnation: Incarnation,
-        /// What was granted to it, less what it gave back.
-        pub granted: Tokens,
-    }
-
     /// A team's account in the store.
     #[derive(Default)]
     pub struct Account {
-        /// What was granted to all routers, dead ones included, less what was given back.
+        /// What was granted to all routers, less what was given back.
         pub granted: Tokens,
-        /// The VMs' parts; a VM's new process replaces the part of the one before it.
-        pub parts: IndexMap<VmId, Part>,
     }
-}
 
-impl Account {
-    /// Returns what is granted to a process.
-    pub fn part(&self, vm: &VmId, incarnation: Incarnation) -> Tokens {
-        let part = self.parts.get(vm);
-        let own = part.filter(|part| part.incarnation == incarnation);
-        own.map_or(Tokens::ZERO, |part| part.granted)
+    /// What a process may have spent of one team's tokens at any time.
+    #[derive(Copy, Default)]
+    pub struct License {
+        /// What was granted, less what was given back.
+        pub granted: Tokens,
+        /// What it may have spent at once.
+        pub base: Tokens,
+        /// What it may spend beyond that, a second.
+        pub rate: Tokens,
     }
+}
 
-    /// Grants tokens to a process.
-    pub fn grant(&mut self, vm: &VmId, incarnation: Incarnation, tokens: Tokens) {
-        let granted = self.part(vm, incarnation).saturating_add(tokens);
-        self.granted = self.granted.saturating_add(tokens);
-        self.set(vm, incarnation, granted);
-    }
+/// A VM's row in the store.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The process that holds the licenses.
+    pub incarnation: Incarnation,
+    /// The store's time from which the rates count.
+    #[serde(rename = "since_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub since: Duration,
+    /// The licenses.
+    pub licenses: IndexMap<TeamId, License>,
+}
 
-    /// Takes back what a process holds beyond `kept`; returns how much that is.
-    pub fn take_back(&mut self, vm: &VmId, incarnation: Incarnation, kept: Tokens) -> Tokens {
-        let part = self.part(vm, incarnation);
-        let tokens = part.saturating_sub(kept);
-        self.granted = self.granted.saturating_sub(tokens);
-        self.set(vm, incarnation, part.saturating_sub(tokens));
-        tokens
+/// By how much a router's clock may run faster than the store's, as a factor of the rate.
+const DRIFT: f64 = 1.05;
+
+impl License {
+    /// Returns what may be spent some time after the license's start.
+    pub fn allows(&self, elapsed: Duration) -> Tokens {
+        let earned = self.rate.scale(elapsed.as_secs_f64());
+        self.granted.min(self.base.saturating_add(earned))
     }
 
-    fn set(&mut self, vm: &VmId, incarnation: Incarnation, granted: Tokens) {
-        let part = Part {
-            incarnation,
-            granted,
-        };
-        self.parts.insert(vm.clone(), part);
+    /// Returns the most that a dead process can have spent, some time after the license's start.
+    pub fn bound(&self, elapsed: Duration) -> Tokens {
+        self.allows(elapsed.mul_f64(DRIFT))
     }
 }
 
@@ -66,34 +72,48 @@
 /// store is survived; the longest that the deployments know is 9 s.
 const HORIZON: Duration = Duration::from_secs(11);
 
-/// A router draws again once less than this is left at the present rate.
-const LOW_WATER: Duration = Duration::from_secs(9);
+/// A router draws again once less than this part of its target is left.
+const LOW_WATER: f64 = 0.8;
+
+/// A router gives back what it holds beyond this many times its target.
+const HIGH_WATER: f64 = 1.6;
+
+/// The part of what nobody holds that all routers together hold beyond their need.
+const SPREAD: f64 = 0.5;
 
-/// The part of a team's tokens that a router draws before it knows the team's rate.
-const FIRST_PART: u64 = 100;
+/// For how long a license's amount lasts at the present rate.
+const HEADROOM: Duration = Duration::from_millis(1500);
 
-/// One router draws at most this part of what is left, so that the others find some too.
-const LARGEST_PART: u64 = 6;
+/// How much faster than at the present rate a license lets a router spend.
+const LICENSED_RATE: f64 = 2.0;
 
-/// How fast the known rate follows the present one, a second.
-const RATE_GAIN: f64 = 0.3;
+/// A license's amount is at least this part of what is granted, so that a team with few requests
+/// isn't held up by each of them.
+const LEAST_HEADROOM: f64 = 0.25;
+
+/// How fast the known rate follows a higher one, a second.
+const RISE: f64 = 0.6;
+
+/// How fast the known rate follows a lower one, a second.
+const FALL: f64 = 0.08;
 
 /// What one router holds of one team's tokens.
 #[derive(Clone, Debug, Default)]
 pub struct Balance {
-    granted: Tokens,
+    current: License,
+    since: Duration,
+    /// Licenses that were written without an answer, with the version of the row on which they
+    /// depend and their start. Until that version has gone, each of them may come into force.
+    pending: Vec<(u64, License, Duration)>,
     spent: Tokens,
     reserved: Tokens,
     /// What requests that found too little need, the largest.
     short: Tokens,
-    /// What was spent or reserved since the last look.
+    /// What was reserved and not released since the last look.
     recent: Tokens,
     /// Tokens a second.
     rate: f64,
-    /// The account as it was last read.
     known: Option<Known>,
-    /// The version of the account on which a return was tried whose outcome isn't known.
-    unsettled: Option<u64>,
 }
 
 /// What was last read of an account.
@@ -107,6 +127,13 @@
     pub at: Duration,
 }
 
+impl Known {
+    /// Returns what nobody holds.
+    pub fn left(&self) -> Tokens {
+        self.prepaid.saturating_sub(self.granted)
+    }
+}
+
 /// How a reservation went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reserved {
@@ -118,20 +145,27 @@
     Exhausted,
 }
 
-/// A change of an account that a router wants.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wish {
-    /// More tokens: at least the first, where it can be had, and up to the second.
-    Draw(Tokens, Tokens),
-    /// To give back.
-    Return(Tokens),
-}
-
 impl Balance {
-    /// Returns what can be reserved.
-    pub fn available(&self) -> Tokens {
-        let used = self.spent.saturating_add(self.reserved);
-        self.granted.saturating_sub(used)
+    /// Returns what can be reserved at the store's time `clock`.
+    pub fn available(&self, clock: Duration) -> Tokens {
+        let allowed = |license: &License, since: Duration| {
+            license.allows(clock.saturating_sub(since))
+        };
+        let pending = self.pending.iter();
+        let pending = pending.map(|(_, license, since)| allowed(license, *since));
+        let least = pending.fold(allowed(&self.current, self.since), Tokens::min);
+        least.saturating_sub(self.used())
+    }
+
+    /// Returns what is granted and neither spent nor reserved.
+    pub fn unused(&self) -> Tokens {
+        let pending = self.pending.iter().map(|(_, license, _)| license.granted);
+        let granted = pending.fold(self.current.granted, Tokens::min);
+        granted.saturating_sub(self.used())
+    }
+
+    fn used(&self) -> Tokens {
+        self.spent.saturating_add(self.reserved)
     }
 
     /// Returns what was last read of the account.
@@ -140,18 +174,16 @@
     }
 
     /// Sets tokens aside for a request.
-    pub fn reserve(&mut self, tokens: Tokens) -> Reserved {
-        if self.available() >= tokens {
+    pub fn reserve(&mut self, tokens: Tokens, clock: Duration) -> Reserved {
+        if self.available(clock) >= tokens {
             self.reserved = self.reserved.saturating_add(tokens);
             self.recent = self.recent.saturating_add(tokens);
             return Reserved::Done;
         }
         self.short = self.short.max(tokens);
-        let missing = tokens.saturating_sub(self.available());
+        let missing = tokens.saturating_sub(self.unused());
         match self.known {
-            Some(known) if known.prepaid.saturating_sub(known.granted) < missing => {
-                Reserved::Exhausted
-            }
+            Some(known) if known.left() < missing => Reserved::Exhausted,
             _ => Reserved::Short,
         }
     }
@@ -172,71 +204,82 @@
             return;
         }
         let rate = self.recent.get() as f64 / seconds;
-        let gain = (RATE_GAIN * seconds).min(1.0);
-        self.rate += (rate - self.rate) * gain;
+        let gain = if rate > self.rate { RISE } else { FALL };
+        self.rate += (rate - self.rate) * (gain * seconds).min(1.0);
         self.recent = Tokens::ZERO;
     }
 
-    /// Returns the change that the account needs, if any.
-    pub fn wish(&self, prepaid: Tokens) -> Option<Wish> {
-        let available = self.available();
-        if self.unsettled.is_some() {
-            return Some(Wish::Return(available));
-        }
-        let over = self.known.is_some_and(|known| known.granted > prepaid);
-        if over {
-            return (!available.is_zero()).then_some(Wish::Return(available));
-        }
-        let target = Tokens::new((self.rate * HORIZON.as_secs_f64()) as u64);
-        let low = Tokens::new((self.rate * LOW_WATER.as_secs_f64()) as u64);
-        let first = Tokens::new(prepaid.get() / FIRST_PART);
-        let (target, low) = match self.known {
-            None => (first, first),
-            Some(_) => (target.max(first), low.max(Tokens::new(first.get() / 2))),
+    /// Returns what this router should hold unused, with `routers` live ones.
+    fn target(&self, left: Tokens, routers: usize) -> Tokens {
+        let need = self.rate * HORIZON.as_secs_f64();
+        let spread = left.get() as f64 * SPREAD / routers.max(1) as f64;
+        Tokens::new((need + spread) as u64)
+    }
+
+    /// Returns the license that this router wants next, given its account.
+    ///
+    /// The account's `granted` may grow by no more than what is left.
+    pub fn plan(&self, account: &Account, prepaid: Tokens, routers: usize) -> License {
+        let unused = self.unused();
+        let used = self.used();
+        let left = prepaid.saturating_sub(account.granted);
+        let missing = self.short.saturating_sub(unused);
+        let target = self.target(left, routers).max(self.short);
+        let holds = if account.granted > prepaid {
+            Tokens::ZERO
+        } else if unused < target.scale(LOW_WATER) {
+            let fair = Tokens::new(left.get() / 2);
+            let draw = target.saturating_sub(unused).min(fair).max(missing);
+            unused.saturating_add(draw.min(left))
+        } else if unused > target.scale(HIGH_WATER) {
+            target
+        } else {
+            unused
         };
-        let needed = self.short.saturating_sub(available);
-        if needed.is_zero() && available >= low {
-            return None;
+        let granted = used.saturating_add(holds);
+        let headroom = Tokens::new((self.rate * HEADROOM.as_secs_f64()) as u64);
+        let headroom = headroom.max(holds.scale(LEAST_HEADROOM)).max(self.short);
+        License {
+            granted,
+            base: used.saturating_add(headroom),
+            rate: Tokens::new((self.rate * LICENSED_RATE) as u64),
         }
-        let most = target.saturating_sub(available).max(needed);
-        (!most.is_zero()).then_some(Wish::Draw(needed, most))
     }
 
-    /// Returns what is granted of a draw, by what the account has left.
-    pub fn share(needed: Tokens, most: Tokens, left: Tokens) -> Tokens {
-        let fair = Tokens::new(left.get() / LARGEST_PART);
-        most.min(fair).max(needed).min(left)
+    /// Returns whether the present license can stay as it is beside the planned one.
+    pub fn is_settled(&self, plan: &License, clock: Duration) -> bool {
+        let headroom = plan.base.saturating_sub(self.used());
+        let enough = self.available(clock) >= headroom.scale(LOW_WATER);
+        self.pending.is_empty()
+            && self.current.granted == plan.granted
+            && enough
+            && self.short <= self.available(clock)
     }
 
-    /// Takes off all that is available, before the store is asked to take it back; returns what
-    /// this router then still holds, spent or not.
-    pub fn give_back(&mut self, version: u64) -> Tokens {
-        let available = self.available();
-        self.granted = self.granted.saturating_sub(available);
-        self.unsettled = Some(version);
-        self.granted
+    /// Notes a license that is about to be written on a version of the VM's row.
+    pub fn propose(&mut self, version: u64, license: License, since: Duration) {
+        self.pending.push((version, license, since));
     }
 
-    /// Takes over what the store says of the account.
-    ///
-    /// While the row still has the version on which a return was tried, the return may yet be
-    /// applied, so what it gives back is not spendable again.
-    pub fn reconcile(&mut self, part: Tokens, known: Known, version: u64) {
-        self.known = Some(known);
-        if self.unsettled == Some(version) {
-            self.granted = self.granted.min(part);
-            return;
-        }
-        self.unsettled = None;
-        self.granted = part;
-        if self.available() >= self.short {
-            self.short = Tokens::ZERO;
-        }
+    /// Takes over the license that was written.
+    pub fn accept(&mut self, license: License, since: Duration) {
+        self.current = license;
+        self.since = since;
+        self.pending.clear();
+        self.short = Tokens::ZERO;
     }
 
-    /// Forgets what waiting requests needed, once they have been answered.
-    pub fn forget_short(&mut self) {
-        self.short = Tokens::ZERO;
+    /// Takes over the license that stands in the VM's row of a version; what was proposed on other
+    /// versions can no longer come into force.
+    pub fn reconcile(&mut self, version: u64, license: License, since: Duration) {
+        self.current = license;
+        self.since = since;
+        self.pending.retain(|(on, _, _)| *on == version);
+    }
+
+    /// Takes over what was read of the account.
+    pub fn learn(&mut self, known: Known) {
+        self.known = Some(known);
     }
 }
 
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -1,5 +1,7 @@
 //! The border to the table service and the object store.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use fescue_core::record;
 use serde::Serialize;
@@ -168,6 +170,12 @@
     ///
     /// [`TableError::Lost`] when it may have been written.
     async fn transact(&self, transaction: &Transaction) -> Result<Commit, TableError>;
+
+    /// Returns the service's steady clock, no later than it is now, and no earlier than when the
+    /// last answer was given; `None` where the service has no clock.
+    fn clock(&self) -> Option<Duration> {
+        None
+    }
 }
 
 /// The object store.
