--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -81,15 +81,22 @@
 /// The part of what nobody holds that all routers together hold beyond their need.
 const SPREAD: f64 = 0.5;
 
-/// For how long a license's amount lasts at the present rate.
-const HEADROOM: Duration = Duration::from_millis(1500);
+/// Below this part of the prepaid tokens left, grants last for a shorter time, so that no router
+/// holds for later what another could spend now.
+const SCARCE: f64 = 0.15;
+
+/// The part of the horizon that is kept when nothing is left.
+const LEAST_HORIZON: f64 = 0.2;
+
+/// For how long a license's amount lasts at the present rate; it is renewed every second, and at
+/// once where a request needs more.
+const HEADROOM: Duration = Duration::from_millis(400);
 
 /// How much faster than at the present rate a license lets a router spend.
-const LICENSED_RATE: f64 = 2.0;
+const LICENSED_RATE: f64 = 1.25;
 
-/// A license's amount is at least this part of what is granted, so that a team with few requests
-/// isn't held up by each of them.
-const LEAST_HEADROOM: f64 = 0.25;
+/// How much of the largest request's bound is remembered from one look to the next, as a factor.
+const LARGEST_KEPT: f64 = 0.97;
 
 /// How fast the known rate follows a higher one, a second.
 const RISE: f64 = 0.6;
@@ -113,6 +120,8 @@
     recent: Tokens,
     /// Tokens a second.
     rate: f64,
+    /// The largest bound of a request lately.
+    largest: Tokens,
     known: Option<Known>,
 }
 
@@ -175,6 +184,7 @@
 
     /// Sets tokens aside for a request.
     pub fn reserve(&mut self, tokens: Tokens, clock: Duration) -> Reserved {
+        self.largest = self.largest.max(tokens);
         if self.available(clock) >= tokens {
             self.reserved = self.reserved.saturating_add(tokens);
             self.recent = self.recent.saturating_add(tokens);
@@ -207,11 +217,14 @@
         let gain = if rate > self.rate { RISE } else { FALL };
         self.rate += (rate - self.rate) * (gain * seconds).min(1.0);
         self.recent = Tokens::ZERO;
+        self.largest = self.largest.scale(LARGEST_KEPT);
     }
 
     /// Returns what this router should hold unused, with `routers` live ones.
-    fn target(&self, left: Tokens, routers: usize) -> Tokens {
-        let need = self.rate * HORIZON.as_secs_f64();
+    fn target(&self, left: Tokens, prepaid: Tokens, routers: usize) -> Tokens {
+        let scarce = prepaid.get() as f64 * SCARCE;
+        let part = (left.get() as f64 / scarce.max(1.0)).clamp(LEAST_HORIZON, 1.0);
+        let need = self.rate * HORIZON.as_secs_f64() * part;
         let spread = left.get() as f64 * SPREAD / routers.max(1) as f64;
         Tokens::new((need + spread) as u64)
     }
@@ -224,7 +237,7 @@
         let used = self.used();
         let left = prepaid.saturating_sub(account.granted);
         let missing = self.short.saturating_sub(unused);
-        let target = self.target(left, routers).max(self.short);
+        let target = self.target(left, prepaid, routers).max(self.short);
         let holds = if account.granted > prepaid {
             Tokens::ZERO
         } else if unused < target.scale(LOW_WATER) {
@@ -238,7 +251,7 @@
         };
         let granted = used.saturating_add(holds);
         let headroom = Tokens::new((self.rate * HEADROOM.as_secs_f64()) as u64);
-        let headroom = headroom.max(holds.scale(LEAST_HEADROOM)).max(self.short);
+        let headroom = headroom.max(self.largest).max(self.short);
         License {
             granted,
             base: used.saturating_add(headroom),
