escrow: follow a falling rate faster, smaller licenses

Cause: a router's rate stayed at its peak for 12 s, so its license allowed more than it could spend.

--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -90,10 +90,10 @@
 
 /// For how long a license's amount lasts at the present rate; it is renewed every second, and at
 /// once where a request needs more.
-const HEADROOM: Duration = Duration::from_millis(400);
+const HEADROOM: Duration = Duration::from_millis(300);
 
 /// How much faster than at the present rate a license lets a router spend.
-const LICENSED_RATE: f64 = 1.25;
+const LICENSED_RATE: f64 = 1.15;
 
 /// How much of the largest request's bound is remembered from one look to the next, as a factor.
 const LARGEST_KEPT: f64 = 0.97;
@@ -102,7 +102,7 @@
 const RISE: f64 = 0.6;
 
 /// How fast the known rate follows a lower one, a second.
-const FALL: f64 = 0.08;
+const FALL: f64 = 0.3;
 
 /// What one router holds of one team's tokens.
 #[derive(Clone, Debug, Default)]
