handover: routers hand tokens over to each other

Change: a router that lacks tokens asks two others by datagram; the giver counts them as spent first. What a router holds can be spent within the horizon, also by an idle team.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
     struct Beat {
         incarnation: Incarnation,
         count: u64,
+        /// Where it hears other routers.
+        address: SocketAddr,
     }
 
     /// A request that crashed upstreams.
@@ -105,6 +108,7 @@
         let beat = Beat {
             incarnation: gateway.incarnation,
             count: self.beats,
+            address: gateway.settings.listen.peers,
         };
         let mut transaction = Transaction::default();
         let key = format!("{ROUTERS}{}", gateway.settings.vm);
@@ -120,6 +124,7 @@
 
     fn learn(&mut self, gateway: &Gateway, rows: &[Row]) {
         let now = gateway.now();
+        let mut peers = Vec::new();
         for row in rows {
             if let Some(name) = row.key.strip_prefix(ROUTERS) {
                 let seen = self.seen.entry(name.to_owned()).or_insert((0, 0));
@@ -127,6 +132,12 @@
                     true => (row.version, seen.1 + 1),
                     false => (row.version, 0),
                 };
+                let live = seen.1 < SILENT_SCANS && name != gateway.settings.vm.as_str();
+                match row.decode::<Beat>() {
+                    Ok(Some(beat)) if live => peers.push(beat.address),
+                    Ok(_) => {}
+                    Err(error) => tracing::warn!(%error, "a router's row can't be read"),
+                }
             }
             if let Some(name) = row.key.strip_prefix(SUSPECTS)
                 && let Ok(fingerprint) = u64::from_str_radix(name, 16)
@@ -140,6 +151,7 @@
                 }
             }
         }
+        *gateway.peers.lock() = peers;
         let live = self.seen.values().filter(|seen| seen.1 < SILENT_SCANS).count();
         if live != gateway.routers() {
             tracing::info!(live, before = gateway.routers(), "number of live routers changed");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 //! No function holds two of these locks at once, and none holds one across an `await`.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -20,6 +21,7 @@
 
 use crate::border::Dialect;
 use crate::catalog::Catalog;
+use crate::handover::Asks;
 use crate::lifecycle::{Event, Lifecycle, Phase};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -45,6 +47,12 @@
     pub suspects: Mutex<Suspects>,
     /// Fingerprints to tell the other routers of.
     pub accused: Mutex<Vec<u64>>,
+    /// Where the other live routers hear this one.
+    pub peers: Mutex<Vec<SocketAddr>>,
+    /// What was asked of other routers.
+    pub asks: Mutex<Asks>,
+    /// Counts the answers of other routers.
+    pub gifts: watch::Sender<u64>,
     /// Signals a change of the upstreams or the configuration.
     pub changed: Notify,
     /// Wakes the budget controller.
@@ -80,6 +88,9 @@
             escrow: Mutex::default(),
             suspects: Mutex::default(),
             accused: Mutex::default(),
+            peers: Mutex::default(),
+            asks: Mutex::default(),
+            gifts: watch::Sender::new(0),
             changed: Notify::new(),
             need: Notify::new(),
             round: watch::Sender::new(0),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod feeds;
 pub mod fleet;
 pub mod gateway;
+pub mod handover;
 pub mod ingress;
 pub mod job;
 pub mod lifecycle;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -15,11 +15,12 @@
 use http::{Request, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::border::Malformed;
 use crate::catalog::{Catalog, choose_service};
 use crate::gateway::{Gateway, Reservation};
+use crate::handover;
 use crate::job::Job;
 use crate::lifecycle::Phase;
 use crate::model::{Call, Kind, Route, Service, Team};
@@ -266,20 +267,25 @@
     }
     let give_up = until.min(Instant::now() + DRAW_WAIT);
     let mut round = gateway.round.subscribe();
-    round.mark_unchanged();
+    let mut gifts = gateway.gifts.subscribe();
     loop {
         let reserved = gateway.reserve(&team.name, bound);
         let known = gateway.escrow.lock().balance(&team.name).known();
         let age = known.map(|known| gateway.now().saturating_sub(known.at));
-        match reserved {
+        let asked = match reserved {
             Reserved::Done => return Ok(Some(Reservation::hold(gateway, &team.name, bound))),
-            Reserved::Exhausted if age.is_some_and(|age| age < ACCOUNT_AGE) => {
-                return Err(exhausted(team, bound.get(), known));
-            }
-            Reserved::Exhausted | Reserved::Short => {}
+            Reserved::Exhausted | Reserved::Short => handover::ask(gateway, &team.name, bound),
+        };
+        let fresh = age.is_some_and(|age| age < ACCOUNT_AGE);
+        if reserved == Reserved::Exhausted && fresh && !asked {
+            return Err(exhausted(team, bound.get(), known));
         }
-        let waited = timeout_at(give_up, round.changed()).await;
-        if waited.is_err() {
+        let waited = tokio::select! {
+            waited = timeout_at(give_up, round.changed()) => waited.is_ok(),
+            _ = gifts.changed() => true,
+            () = sleep(handover::PAUSE) => Instant::now() < give_up,
+        };
+        if !waited {
             if reserved == Reserved::Exhausted {
                 return Err(exhausted(team, bound.get(), known));
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,7 @@
 
 use fescue_store::table::Table;
 use miette::{IntoDiagnostic, WrapErr};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -15,7 +15,7 @@
 use crate::lifecycle::{Event, Phase};
 use crate::logs::Logs;
 use crate::settings::Settings;
-use crate::{budget, feeds, fleet, ingress, probe};
+use crate::{budget, feeds, fleet, handover, ingress, probe};
 
 /// What an adapter brings.
 pub struct Platform {
@@ -51,6 +51,9 @@
     let callers = bind(listen.callers)?;
     let ready = bind(listen.ready)?;
     let metrics = bind(listen.metrics)?;
+    let peers = UdpSocket::bind(listen.peers).await.into_diagnostic();
+    let context = || format!("{} can't be bound", listen.peers);
+    let peers = Arc::new(peers.wrap_err_with(context)?);
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
     let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
@@ -72,6 +75,7 @@
         tokio::spawn(feeds::follow(Arc::clone(&gateway), Arc::clone(&registry), topic));
     }
     tokio::spawn(budget::run(Arc::clone(&gateway), Arc::clone(&table)));
+    tokio::spawn(handover::run(Arc::clone(&gateway), peers));
     tokio::spawn(fleet::run(Arc::clone(&gateway), Arc::clone(&table)));
     tokio::spawn(probe::serve_ready(Arc::clone(&gateway), ready));
     tokio::spawn(probe::serve_metrics(Arc::clone(&gateway), logs, metrics));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -48,6 +48,8 @@
     pub callers: SocketAddr,
     /// For the balancer, which asks whether the gateway is ready.
     pub ready: SocketAddr,
+    /// For other routers, by datagrams.
+    pub peers: SocketAddr,
     /// For operators: metrics as text.
     pub metrics: SocketAddr,
 }
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -81,6 +81,12 @@
 /// The part of what nobody holds that all routers together hold beyond their need.
 const SPREAD: f64 = 0.5;
 
+/// For how long a router keeps tokens for its own requests when others ask for some.
+const KEPT: Duration = Duration::from_secs(1);
+
+/// For how long a router asks others for tokens at once.
+const ASKED: Duration = Duration::from_millis(700);
+
 /// Below this part of the prepaid tokens left, grants last for a shorter time, so that no router
 /// holds for later what another could spend now.
 const SCARCE: f64 = 0.15;
@@ -114,6 +120,8 @@
     pending: Vec<(u64, License, Duration)>,
     spent: Tokens,
     reserved: Tokens,
+    /// What other routers handed over; it counts as spent in their licenses.
+    received: Tokens,
     /// What requests that found too little need, the largest.
     short: Tokens,
     /// What was reserved and not released since the last look.
@@ -163,20 +171,51 @@
         let pending = self.pending.iter();
         let pending = pending.map(|(_, license, since)| allowed(license, *since));
         let least = pending.fold(allowed(&self.current, self.since), Tokens::min);
-        least.saturating_sub(self.used())
+        least
+            .saturating_add(self.received)
+            .saturating_sub(self.consumed())
     }
 
     /// Returns what is granted and neither spent nor reserved.
     pub fn unused(&self) -> Tokens {
         let pending = self.pending.iter().map(|(_, license, _)| license.granted);
         let granted = pending.fold(self.current.granted, Tokens::min);
-        granted.saturating_sub(self.used())
+        granted
+            .saturating_add(self.received)
+            .saturating_sub(self.consumed())
     }
 
-    fn used(&self) -> Tokens {
+    fn consumed(&self) -> Tokens {
         self.spent.saturating_add(self.reserved)
     }
 
+    /// Returns what counts against this router's own license.
+    fn used(&self) -> Tokens {
+        self.consumed().saturating_sub(self.received)
+    }
+
+    /// Hands tokens over to another router, as far as this one can spare them; returns how many.
+    ///
+    /// They count as spent here, so that the other router may spend them without a license.
+    pub fn hand_over(&mut self, wanted: Tokens, clock: Duration) -> Tokens {
+        let kept = Tokens::new((self.rate * KEPT.as_secs_f64()) as u64);
+        let spare = self.available(clock).saturating_sub(kept);
+        let given = wanted.min(spare);
+        self.spent = self.spent.saturating_add(given);
+        given
+    }
+
+    /// Takes tokens that another router handed over.
+    pub fn receive(&mut self, tokens: Tokens) {
+        self.received = self.received.saturating_add(tokens);
+    }
+
+    /// Returns what to ask other routers for when `tokens` can't be reserved.
+    pub fn wanted(&self, tokens: Tokens, clock: Duration) -> Tokens {
+        let missing = tokens.saturating_sub(self.available(clock));
+        missing.max(Tokens::new((self.rate * ASKED.as_secs_f64()) as u64))
+    }
+
     /// Returns what was last read of the account.
     pub fn known(&self) -> Option<Known> {
         self.known
@@ -249,13 +288,17 @@
         } else {
             unused
         };
-        let granted = used.saturating_add(holds);
+        // What was received and not spent yet is no part of this router's own license.
+        let spare = self.received.saturating_sub(self.consumed());
+        let granted = used.saturating_add(holds.saturating_sub(spare));
         let headroom = Tokens::new((self.rate * HEADROOM.as_secs_f64()) as u64);
+        // What is held can be spent within the horizon, also by a team that is idle now.
+        let steady = holds.scale(1.0 / HORIZON.as_secs_f64());
         let headroom = headroom.max(self.largest).max(self.short);
         License {
             granted,
             base: used.saturating_add(headroom),
-            rate: Tokens::new((self.rate * LICENSED_RATE) as u64),
+            rate: Tokens::new((self.rate * LICENSED_RATE) as u64).max(steady),
         }
     }
 
