budget: renew licenses by one write each 300 ms, rates count only after a delay

Change: a transaction tells its version, so a renewal is one write; a license's rate counts only after 1.6 s without a renewal, and then catches up.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use fescue_core::{TeamId, Tokens};
-use fescue_policy::escrow::{Account, Holder, Known, License};
+use fescue_policy::escrow::{self, Account, Holder, Known, License};
 use fescue_store::table::{Commit, Row, Table, TableError, Transaction, scan_all};
 use indexmap::IndexMap;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::Gateway;
@@ -20,11 +21,14 @@
 /// Where the VMs' rows are.
 const HOLDERS: &str = "holders/";
 
-/// The time between two rounds when nothing waits.
-const ROUND: Duration = Duration::from_secs(1);
-
 /// The shortest time between two rounds, so that short requests can't flood the store.
-const SPACING: Duration = Duration::from_millis(120);
+const SPACING: Duration = Duration::from_millis(100);
+
+/// The pause after a round that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
+
+/// How old what is known of the accounts may be.
+const ACCOUNTS_AGE: Duration = Duration::from_secs(1);
 
 /// How often a round is tried again at once after another router was first.
 const CONFLICTS: u32 = 4;
@@ -33,19 +37,25 @@
 /// twice in a transaction, and so does the VM's row.
 const MOST_ACCOUNTS: usize = 48;
 
-/// Runs the controller for as long as the process runs.
-pub async fn run(gateway: Arc<Gateway>, table: Arc<dyn Table>) {
+/// Runs the controller until the process stops and all unspent tokens are given back.
+pub async fn run(gateway: Arc<Gateway>, mut goal: watch::Receiver<Goal>) {
+    let mut controller = Controller::open(Arc::clone(&gateway));
     let mut last = Instant::now();
     loop {
+        let pace = escrow::pace(gateway.routers());
         // A need wakes the controller early; otherwise the round comes anyway.
-        let _woken = timeout(ROUND, gateway.need.notified()).await;
+        let _woken = timeout(pace, gateway.need.notified()).await;
         gateway.observe_spending(last.elapsed());
         last = Instant::now();
-        let good = round(&gateway, &*table, Goal::Serve).await;
+        let goal = *goal.borrow_and_update();
+        let good = controller.round(goal).await;
+        if good && goal == Goal::Stop {
+            return;
+        }
         if good && gateway.phase() == Phase::Starting && is_prepared(&gateway) {
             gateway.handle(Event::Prepared);
         }
-        sleep(SPACING).await;
+        sleep(if good { SPACING } else { FAILED_PAUSE }).await;
     }
 }
 
@@ -63,72 +73,154 @@
     Stop,
 }
 
-/// Brings the licenses to what is needed; returns whether the store answered.
-pub async fn round(gateway: &Gateway, table: &dyn Table, goal: Goal) -> bool {
-    for _ in 0..CONFLICTS {
-        match attempt(gateway, table, goal).await {
-            Ok(Commit::Done) => {
-                gateway.metrics.count_store("draw", true);
-                gateway.round.send_modify(|round| *round += 1);
-                return true;
-            }
-            Ok(Commit::Conflict) => gateway.metrics.count_store("draw_conflict", true),
-            Err(error) => {
-                gateway.metrics.count_store("draw", false);
-                tracing::warn!(%error, "tokens can't be drawn");
-                return false;
-            }
-        }
-    }
-    false
-}
-
 /// What the store says before a round.
+#[derive(Clone, Debug)]
 struct View {
     /// This VM's row.
     row: Row,
     holder: Holder,
-    accounts: IndexMap<TeamId, (Row, Account)>,
-    /// The store's time, no later than it is.
-    clock: Duration,
+    /// The accounts, where they were read for this round.
+    accounts: Option<Accounts>,
     /// Whether the row is of the process before this one.
     closing: bool,
 }
 
-/// Reads the rows, and writes what changes in one transaction.
-async fn attempt(
-    gateway: &Gateway,
-    table: &dyn Table,
-    goal: Goal,
-) -> Result<Commit, TableError> {
-    let prepaid = prepaid(gateway);
-    if prepaid.is_empty() {
-        return Ok(Commit::Done);
+type Accounts = IndexMap<TeamId, (Row, Account)>;
+
+/// Draws and renews for one process.
+pub struct Controller {
+    gateway: Arc<Gateway>,
+    /// This VM's row as it was last written or read.
+    own: Option<(Row, Holder)>,
+    accounts_read: Option<Instant>,
+}
+
+impl Controller {
+    /// Opens a controller that knows nothing yet.
+    pub fn open(gateway: Arc<Gateway>) -> Self {
+        Self {
+            gateway,
+            own: None,
+            accounts_read: None,
+        }
     }
-    let mut view = read(gateway, table).await?;
-    let mut changed = IndexMap::new();
-    if view.closing {
-        changed = close_former(&mut view);
-        view.holder.incarnation = gateway.incarnation;
+
+    /// Brings the licenses to what is needed; returns whether the store answered.
+    pub async fn round(&mut self, goal: Goal) -> bool {
+        for _ in 0..CONFLICTS {
+            let attempt = self.attempt(goal).await;
+            let metrics = &self.gateway.metrics;
+            match attempt {
+                Ok(Commit::Done(_)) => {
+                    metrics.count_store("draw", true);
+                    self.gateway.round.send_modify(|round| *round += 1);
+                    return true;
+                }
+                Ok(Commit::Conflict) => metrics.count_store("draw_conflict", true),
+                Err(error) => {
+                    metrics.count_store("draw", false);
+                    tracing::warn!(%error, "tokens can't be drawn");
+                    self.own = None;
+                    return false;
+                }
+            }
+            self.own = None;
+            self.accounts_read = None;
+        }
+        false
     }
-    reconcile(gateway, &view, &prepaid);
-    let licenses = plan(gateway, &mut view, &prepaid, goal, &mut changed);
-    if licenses.is_empty() && !view.closing {
-        return Ok(Commit::Done);
+
+    /// Reads what isn't known, and writes what changes in one transaction.
+    async fn attempt(&mut self, goal: Goal) -> Result<Commit, TableError> {
+        let gateway = Arc::clone(&self.gateway);
+        let prepaid = prepaid(&gateway);
+        if prepaid.is_empty() {
+            return Ok(Commit::Done(None));
+        }
+        let mut view = self.read_own().await?;
+        let stale = self
+            .accounts_read
+            .is_none_or(|read| read.elapsed() >= ACCOUNTS_AGE);
+        let draws = |view: &View| {
+            let held = &view.holder.licenses;
+            plan(&gateway, view, &prepaid, goal)
+                .iter()
+                .any(|(team, license)| held.get(team).map(|l| l.granted) != Some(license.granted))
+        };
+        if view.closing || stale || draws(&view) {
+            view.accounts = Some(read_accounts(&*gateway.table).await?);
+            self.accounts_read = Some(Instant::now());
+        }
+        let mut changed = IndexMap::new();
+        if view.closing {
+            changed = close_former(&mut view, gateway.table.clock().unwrap_or_default());
+            view.holder.incarnation = gateway.incarnation;
+        }
+        reconcile(&gateway, &view, &prepaid);
+        let licenses = plan(&gateway, &view, &prepaid, goal);
+        if licenses.is_empty() && !view.closing {
+            self.own = Some((view.row, view.holder));
+            return Ok(Commit::Done(None));
+        }
+        apply(&mut view, &licenses, &mut changed);
+        self.write(view, &changed, &prepaid).await
     }
-    view.holder.since = view.clock;
-    let mut transaction = Transaction::default();
-    transaction.replace(&view.row, &view.holder);
-    for team in changed.keys() {
-        let (row, account) = &view.accounts[team];
-        transaction.replace(row, account);
+
+    async fn read_own(&self) -> Result<View, TableError> {
+        let (gateway, accounts) = (&self.gateway, None);
+        if let Some((row, holder)) = self.own.clone() {
+            return Ok(View {
+                row,
+                holder,
+                accounts,
+                closing: false,
+            });
+        }
+        let key = format!("{HOLDERS}{}", gateway.settings.vm);
+        let rows = gateway.table.read(std::slice::from_ref(&key)).await?;
+        let row = rows.into_iter().next().unwrap_or_else(|| Row::absent(key));
+        let holder: Option<Holder> = row.decode()?;
+        let closing = holder
+            .as_ref()
+            .is_some_and(|holder| holder.incarnation != gateway.incarnation);
+        let holder = holder.unwrap_or_else(|| Holder {
+            incarnation: gateway.incarnation,
+            since: Duration::ZERO,
+            licenses: IndexMap::new(),
+        });
+        Ok(View {
+            row,
+            holder,
+            accounts,
+            closing,
+        })
     }
-    propose(gateway, &view);
-    let commit = table.transact(&transaction).await?;
-    if commit == Commit::Done {
-        accept(gateway, &view, &prepaid);
+
+    async fn write(
+        &mut self,
+        mut view: View,
+        changed: &IndexMap<TeamId, ()>,
+        prepaid: &IndexMap<TeamId, Tokens>,
+    ) -> Result<Commit, TableError> {
+        let gateway = &self.gateway;
+        // Accrual starts late, and is counted from a time no later than the store's own.
+        let clock = gateway.table.clock().unwrap_or_default();
+        view.holder.since = clock + escrow::rate_delay(gateway.routers());
+        let mut transaction = Transaction::default();
+        transaction.replace(&view.row, &view.holder);
+        for team in changed.keys() {
+            if let Some((row, account)) = view.accounts.as_ref().and_then(|a| a.get(team)) {
+                transaction.replace(row, account);
+            }
+        }
+        propose(gateway, &view);
+        let commit = gateway.table.transact(&transaction).await?;
+        if let Commit::Done(version) = commit {
+            accept(gateway, &view, prepaid);
+            self.own = version.map(|version| (Row { version, ..view.row }, view.holder));
+        }
+        Ok(commit)
     }
-    Ok(commit)
 }
 
 /// Returns what each team prepaid.
@@ -141,10 +233,7 @@
     teams.collect()
 }
 
-async fn read(gateway: &Gateway, table: &dyn Table) -> Result<View, TableError> {
-    let key = format!("{HOLDERS}{}", gateway.settings.vm);
-    let rows = table.read(std::slice::from_ref(&key)).await?;
-    let row = rows.into_iter().next().unwrap_or_else(|| Row::absent(key));
+async fn read_accounts(table: &dyn Table) -> Result<Accounts, TableError> {
     let mut accounts = IndexMap::new();
     for row in scan_all(table, ACCOUNTS).await? {
         let name = row.key.strip_prefix(ACCOUNTS).unwrap_or_default();
@@ -156,34 +245,19 @@
             Err(error) => tracing::warn!(%error, key = row.key, "an account's key can't be read"),
         }
     }
-    let clock = table.clock().unwrap_or_default();
-    let holder: Option<Holder> = row.decode()?;
-    let closing = holder
-        .as_ref()
-        .is_some_and(|holder| holder.incarnation != gateway.incarnation);
-    let holder = holder.unwrap_or_else(|| Holder {
-        incarnation: gateway.incarnation,
-        since: clock,
-        licenses: IndexMap::new(),
-    });
-    Ok(View {
-        row,
-        holder,
-        accounts,
-        clock,
-        closing,
-    })
+    Ok(accounts)
 }
 
 /// Gives back what the process before this one can't have spent; returns the changed accounts.
 ///
 /// A VM runs one process of the role at a time, so the former one is dead.
-fn close_former(view: &mut View) -> IndexMap<TeamId, ()> {
-    let elapsed = view.clock.saturating_sub(view.holder.since);
+fn close_former(view: &mut View, clock: Duration) -> IndexMap<TeamId, ()> {
+    let elapsed = clock.saturating_sub(view.holder.since);
     let mut changed = IndexMap::new();
     for (team, license) in std::mem::take(&mut view.holder.licenses) {
         let unspent = license.granted.saturating_sub(license.bound(elapsed));
-        let Some((_, account)) = view.accounts.get_mut(&team) else {
+        let account = view.accounts.as_mut().and_then(|a| a.get_mut(&team));
+        let Some((_, account)) = account else {
             continue;
         };
         if !unspent.is_zero() {
@@ -210,66 +284,99 @@
         let balance = escrow.balance(team);
         let license = view.holder.licenses.get(team).copied().unwrap_or_default();
         balance.reconcile(view.row.version, license, view.holder.since);
-        let granted = view.accounts.get(team).map(|(_, account)| account.granted);
-        balance.learn(Known {
-            granted: granted.unwrap_or_default(),
-            prepaid: *prepaid,
-            at,
-        });
+        if let Some(accounts) = &view.accounts {
+            let granted = accounts.get(team).map(|(_, account)| account.granted);
+            balance.learn(Known {
+                granted: granted.unwrap_or_default(),
+                prepaid: *prepaid,
+                at,
+            });
+        }
     }
 }
 
-/// Plans the licenses; returns those that change, with all accounts that change added.
+/// Plans the licenses; returns all of them where one has to change, since they stand in one row
+/// with one start, and none where all can stay.
 fn plan(
     gateway: &Gateway,
-    view: &mut View,
+    view: &View,
     prepaid: &IndexMap<TeamId, Tokens>,
     goal: Goal,
-    changed: &mut IndexMap<TeamId, ()>,
 ) -> IndexMap<TeamId, License> {
     let routers = gateway.routers();
+    let clock = gateway.table.clock().unwrap_or_default();
     let mut planned = IndexMap::new();
+    let mut settled = true;
+    let mut moved = 0;
     let mut escrow = gateway.escrow.lock();
     for (team, prepaid) in prepaid {
         let balance = escrow.balance(team);
         let held = view.holder.licenses.get(team).copied().unwrap_or_default();
-        let entry = view.accounts.entry(team.clone()).or_insert_with(|| {
-            let row = Row::absent(format!("{ACCOUNTS}{team}"));
-            (row, Account::default())
-        });
-        let account = &mut entry.1;
-        let mut license = match goal {
-            Goal::Serve => balance.plan(account, *prepaid, routers),
-            Goal::Stop => balance.plan(account, Tokens::ZERO, routers),
+        let read = view.accounts.as_ref();
+        let granted = match read {
+            Some(accounts) => accounts.get(team).map(|(_, account)| account.granted),
+            None => balance.known().map(|known| known.granted),
         };
-        if changed.len() >= MOST_ACCOUNTS && license.granted != held.granted {
-            license.granted = held.granted;
-        }
-        // All licenses stand in one row with one start, so each is renewed when one is.
-        let settled = balance.is_settled(&license, view.clock);
-        view.holder.licenses.insert(team.clone(), license);
-        if settled && goal == Goal::Serve {
-            continue;
+        let account = Account {
+            granted: granted.unwrap_or_default(),
+        };
+        let prepaid = match goal {
+            Goal::Serve => *prepaid,
+            Goal::Stop => Tokens::ZERO,
+        };
+        let mut license = balance.plan(&account, prepaid, routers);
+        if license.granted != held.granted {
+            moved += 1;
+            if moved > MOST_ACCOUNTS {
+                license.granted = held.granted;
+            }
         }
+        settled &= balance.is_settled(&license, clock);
         planned.insert(team.clone(), license);
-        if license.granted == held.granted {
-            continue;
+    }
+    if settled { IndexMap::new() } else { planned }
+}
+
+/// Writes licenses into the view, and what they change into the accounts.
+fn apply(
+    view: &mut View,
+    licenses: &IndexMap<TeamId, License>,
+    changed: &mut IndexMap<TeamId, ()>,
+) {
+    for (team, license) in licenses {
+        let held = view.holder.licenses.get(team).copied().unwrap_or_default();
+        let mut license = *license;
+        if license.granted != held.granted {
+            match &mut view.accounts {
+                Some(accounts) => {
+                    move_tokens(accounts, team, held, license);
+                    changed.insert(team.clone(), ());
+                }
+                // An account that wasn't read can't change; the next round reads it.
+                None => license.granted = held.granted,
+            }
         }
-        account.granted = account
-            .granted
-            .saturating_add(license.granted)
-            .saturating_sub(held.granted);
-        changed.insert(team.clone(), ());
-        tracing::info!(
-            team = team.as_str(),
-            held = held.granted.get(),
-            granted = license.granted.get(),
-            unused = balance.unused().get(),
-            left = prepaid.saturating_sub(account.granted).get(),
-            "license changes"
-        );
+        view.holder.licenses.insert(team.clone(), license);
     }
-    planned
+}
+
+fn move_tokens(accounts: &mut Accounts, team: &TeamId, held: License, license: License) {
+    let entry = accounts.entry(team.clone()).or_insert_with(|| {
+        let row = Row::absent(format!("{ACCOUNTS}{team}"));
+        (row, Account::default())
+    });
+    let account = &mut entry.1;
+    account.granted = account
+        .granted
+        .saturating_add(license.granted)
+        .saturating_sub(held.granted);
+    tracing::info!(
+        team = team.as_str(),
+        held = held.granted.get(),
+        granted = license.granted.get(),
+        all = account.granted.get(),
+        "license changes"
+    );
 }
 
 fn propose(gateway: &Gateway, view: &View) {
@@ -287,12 +394,11 @@
     for (team, license) in &view.holder.licenses {
         let balance = escrow.balance(team);
         balance.accept(*license, view.holder.since);
-        let account = view.accounts.get(team).map(|(_, account)| account.granted);
-        if let (Some(granted), Some(prepaid)) = (account, prepaid.get(team)) {
-            let (granted, prepaid) = (granted, *prepaid);
+        let read = view.accounts.as_ref().and_then(|accounts| accounts.get(team));
+        if let (Some((_, account)), Some(prepaid)) = (read, prepaid.get(team)) {
             balance.learn(Known {
-                granted,
-                prepaid,
+                granted: account.granted,
+                prepaid: *prepaid,
                 at,
             });
         }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -29,7 +29,7 @@
 
 /// How long a request waits for tokens to be drawn from the store; a draw takes two calls, which
 /// a busy store answers within this time.
-const DRAW_WAIT: Duration = Duration::from_millis(700);
+const DRAW_WAIT: Duration = Duration::from_millis(900);
 
 /// When a caller should ask again while no configuration is known.
 const STARTING_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::border::{Dialect, Registry, Topic};
 use crate::gateway::Gateway;
-use crate::lifecycle::{Event, Phase};
+use crate::lifecycle::Event;
 use crate::logs::Logs;
 use crate::settings::Settings;
 use crate::{budget, feeds, fleet, handover, ingress, probe};
@@ -74,7 +74,8 @@
     for topic in [Topic::Configuration, Topic::Upstreams] {
         tokio::spawn(feeds::follow(Arc::clone(&gateway), Arc::clone(&registry), topic));
     }
-    tokio::spawn(budget::run(Arc::clone(&gateway), Arc::clone(&table)));
+    let (goal, goals) = watch::channel(budget::Goal::Serve);
+    let budget = tokio::spawn(budget::run(Arc::clone(&gateway), goals));
     tokio::spawn(handover::run(Arc::clone(&gateway), peers));
     tokio::spawn(fleet::run(Arc::clone(&gateway), Arc::clone(&table)));
     tokio::spawn(probe::serve_ready(Arc::clone(&gateway), ready));
@@ -87,7 +88,12 @@
             _ = hangup.recv() => tracing::info!("told to reload; settings are read at the start"),
         }
     }
-    stop(&gateway, &*table, &drain).await;
+    stop(&gateway, &drain).await;
+    let end = Instant::now() + GIVE_BACK;
+    goal.send_replace(budget::Goal::Stop);
+    gateway.need.notify_one();
+    let given = timeout_at(end, budget).await.is_ok();
+    tracing::info!(given, "stopped");
     Ok(())
 }
 
@@ -102,24 +108,17 @@
     listen().into_diagnostic().wrap_err_with(context)
 }
 
-/// Ends what is open within the grace period, then gives back unspent tokens.
-async fn stop(gateway: &Arc<Gateway>, table: &dyn Table, drain: &watch::Sender<bool>) {
-    let end = Instant::now() + gateway.settings.grace.saturating_sub(LAST_MOMENT);
+/// Ends what is open within the grace period, less the time that giving back takes.
+async fn stop(gateway: &Gateway, drain: &watch::Sender<bool>) {
+    let grace = gateway.settings.grace;
+    let end = Instant::now() + grace.saturating_sub(LAST_MOMENT + GIVE_BACK);
     gateway.handle(Event::Stop);
-    sleep(TURN_AWAY.min(gateway.settings.grace / 2)).await;
+    sleep(TURN_AWAY.min(grace / 2)).await;
     drain.send_replace(true);
     let mut running = gateway.running.subscribe();
     let emptied = running.wait_for(|running| *running == 0);
-    let emptied = timeout_at(end - GIVE_BACK, emptied).await.is_ok();
+    let emptied = timeout_at(end, emptied).await.is_ok();
     let open = *gateway.running.borrow();
-    let given = timeout_at(end, budget::round(gateway, table, budget::Goal::Stop)).await;
-    tracing::info!(emptied, open, given = given.unwrap_or(false), "stopping");
-    let emptied = async {
-        let mut running = gateway.running.subscribe();
-        // The sender lives as long as the gateway.
-        let _ended = running.wait_for(|running| *running == 0).await;
-    };
-    let _late = timeout_at(end, emptied).await;
+    tracing::info!(emptied, open, "requests have ended");
     gateway.handle(Event::Emptied);
-    debug_assert_eq!(gateway.phase(), Phase::Stopped);
 }
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -33,6 +33,8 @@
         pub granted: Tokens,
         /// What it may have spent at once.
         pub base: Tokens,
+        /// What it may spend beyond that once the rate counts.
+        pub jump: Tokens,
         /// What it may spend beyond that, a second.
         pub rate: Tokens,
     }
@@ -56,13 +58,17 @@
 const DRIFT: f64 = 1.05;
 
 impl License {
-    /// Returns what may be spent some time after the license's start.
+    /// Returns what may be spent some time after its rate began to count.
     pub fn allows(&self, elapsed: Duration) -> Tokens {
+        if elapsed.is_zero() {
+            return self.granted.min(self.base);
+        }
         let earned = self.rate.scale(elapsed.as_secs_f64());
-        self.granted.min(self.base.saturating_add(earned))
+        let base = self.base.saturating_add(self.jump);
+        self.granted.min(base.saturating_add(earned))
     }
 
-    /// Returns the most that a dead process can have spent, some time after the license's start.
+    /// Returns the most that a dead process can have spent, some time after its rate began to count.
     pub fn bound(&self, elapsed: Duration) -> Tokens {
         self.allows(elapsed.mul_f64(DRIFT))
     }
@@ -94,15 +100,35 @@
 /// The part of the horizon that is kept when nothing is left.
 const LEAST_HORIZON: f64 = 0.2;
 
-/// For how long a license's amount lasts at the present rate; it is renewed every second, and at
-/// once where a request needs more.
-const HEADROOM: Duration = Duration::from_millis(300);
+/// For how long a license's amount lasts at the present rate, beyond the time until its renewal.
+const HEADROOM: Duration = Duration::from_millis(400);
+
+/// After how long without a renewal a license's rate begins to count. A process that is killed
+/// with all others is started again within this time, so most of what it held comes back.
+const RATE_DELAY: Duration = Duration::from_millis(1300);
+
+/// How much faster than at the present rate a license lets a router spend once its rate counts.
+const LICENSED_RATE: f64 = 1.3;
+
+/// The time in which all that is held can be spent once the rate counts.
+const RELEASE: Duration = Duration::from_secs(5);
 
-/// How much faster than at the present rate a license lets a router spend.
-const LICENSED_RATE: f64 = 1.15;
+/// The transactions that all routers together write a second at most, a third of what one part
+/// of the store takes.
+const WRITES: f64 = 60.0;
 
-/// How much of the largest request's bound is remembered from one look to the next, as a factor.
-const LARGEST_KEPT: f64 = 0.97;
+/// The shortest time between two renewals.
+const SHORTEST_PACE: Duration = Duration::from_millis(300);
+
+/// Returns the time between two renewals of one router's licenses, with `routers` live ones.
+pub fn pace(routers: usize) -> Duration {
+    Duration::from_secs_f64(routers as f64 / WRITES).max(SHORTEST_PACE)
+}
+
+/// Returns after how long without a renewal a license's rate begins to count.
+pub fn rate_delay(routers: usize) -> Duration {
+    RATE_DELAY + pace(routers)
+}
 
 /// How fast the known rate follows a higher one, a second.
 const RISE: f64 = 0.6;
@@ -128,8 +154,6 @@
     recent: Tokens,
     /// Tokens a second.
     rate: f64,
-    /// The largest bound of a request lately.
-    largest: Tokens,
     known: Option<Known>,
 }
 
@@ -223,7 +247,6 @@
 
     /// Sets tokens aside for a request.
     pub fn reserve(&mut self, tokens: Tokens, clock: Duration) -> Reserved {
-        self.largest = self.largest.max(tokens);
         if self.available(clock) >= tokens {
             self.reserved = self.reserved.saturating_add(tokens);
             self.recent = self.recent.saturating_add(tokens);
@@ -256,7 +279,6 @@
         let gain = if rate > self.rate { RISE } else { FALL };
         self.rate += (rate - self.rate) * (gain * seconds).min(1.0);
         self.recent = Tokens::ZERO;
-        self.largest = self.largest.scale(LARGEST_KEPT);
     }
 
     /// Returns what this router should hold unused, with `routers` live ones.
@@ -291,14 +313,18 @@
         // What was received and not spent yet is no part of this router's own license.
         let spare = self.received.saturating_sub(self.consumed());
         let granted = used.saturating_add(holds.saturating_sub(spare));
-        let headroom = Tokens::new((self.rate * HEADROOM.as_secs_f64()) as u64);
-        // What is held can be spent within the horizon, also by a team that is idle now.
-        let steady = holds.scale(1.0 / HORIZON.as_secs_f64());
-        let headroom = headroom.max(self.largest).max(self.short);
+        let lasting = HEADROOM + pace(routers);
+        let headroom = Tokens::new((self.rate * lasting.as_secs_f64()) as u64);
+        let headroom = headroom.max(self.short);
+        // What is held can be spent in an outage, also by a team that is idle now.
+        let steady = holds.scale(1.0 / RELEASE.as_secs_f64());
+        let rate = Tokens::new((self.rate * LICENSED_RATE) as u64).max(steady);
+        let missed = rate_delay(routers).saturating_sub(lasting);
         License {
             granted,
             base: used.saturating_add(headroom),
-            rate: Tokens::new((self.rate * LICENSED_RATE) as u64).max(steady),
+            jump: rate.scale(missed.as_secs_f64()),
+            rate,
         }
     }
 
--- a/crates/standin/src/platform/memory.rs
+++ b/crates/standin/src/platform/memory.rs
@@ -100,7 +100,7 @@
         let written: Vec<_> = written.collect();
         written
             .iter()
-            .filter(|commit| **commit == Commit::Done)
+            .filter(|commit| matches!(commit, Commit::Done(_)))
             .count()
     }
 
@@ -160,7 +160,7 @@
             self.usage.rows_written += 1;
             self.rows.remove(key);
         }
-        Commit::Done
+        Commit::Done(Some(self.clock))
     }
 
     fn loses_answer(&mut self) -> bool {
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -79,7 +79,7 @@
 ) -> Response {
     cut(&memory, &headers).await;
     let commit = memory.transact(&transaction).await;
-    answer(commit.map(|commit| commit == Commit::Done)).await
+    answer(commit.map(|commit| matches!(commit, Commit::Done(_)))).await
 }
 
 async fn put_object(State(memory): Platform, Path(name): Path<String>, body: Bytes) -> Response {
--- a/crates/store/src/accounts.rs
+++ b/crates/store/src/accounts.rs
@@ -217,7 +217,7 @@
                 Step::Write(write, value) => (write, value),
             };
             match self.table.transact(&write).await {
-                Ok(Commit::Done) => return Ok(value),
+                Ok(Commit::Done(_)) => return Ok(value),
                 Ok(Commit::Conflict) => {}
                 Err(error @ TableError::Lost(_)) => lost = Some(error),
                 Err(error) => return Err(lost.unwrap_or(error)),
--- a/crates/store/src/billing.rs
+++ b/crates/store/src/billing.rs
@@ -128,7 +128,7 @@
         }
         match self.table.transact(&write).await? {
             Commit::Conflict => Ok(None),
-            Commit::Done => {
+            Commit::Done(_) => {
                 for (bucket, page) in &pages {
                     chains[bucket].append(page, now);
                 }
--- a/crates/store/src/billing/archive.rs
+++ b/crates/store/src/billing/archive.rs
@@ -61,7 +61,7 @@
         };
         write.replace(&Row::absent(keys::archive(bucket, first)), &archived);
         match self.table.transact(&write).await? {
-            Commit::Done => Ok(old.len()),
+            Commit::Done(_) => Ok(old.len()),
             Commit::Conflict => Ok(0),
         }
     }
--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -86,7 +86,7 @@
         let mut lost = None;
         for _ in 0..TRIES {
             match self.table.transact(&write).await {
-                Ok(Commit::Done) => return Ok(Claimed::Ours),
+                Ok(Commit::Done(_)) => return Ok(Claimed::Ours),
                 Ok(Commit::Conflict) => {}
                 Err(error @ TableError::Lost(_)) => lost = Some(error),
                 Err(error) => return Err(lost.unwrap_or(error)),
--- a/crates/store/src/config.rs
+++ b/crates/store/src/config.rs
@@ -242,7 +242,7 @@
         write.replace(&rows[1], &head);
         write.replace(&crate::Row::absent(keys::change(head.version)), &change);
         match self.table.transact(&write).await? {
-            Commit::Done => {
+            Commit::Done(_) => {
                 if head.version.is_multiple_of(SNAPSHOT_EVERY) {
                     // A snapshot that fails costs time at a start, nothing else.
                     let _kept = self.keep_snapshot(head.version, &changed).await;
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -133,7 +133,7 @@
     async fn transact(&self, transaction: &Transaction) -> Result<Commit, TableError> {
         let committed: bool = self.post("/v1/transact", transaction).await?;
         Ok(if committed {
-            Commit::Done
+            Commit::Done(None)
         } else {
             Commit::Conflict
         })
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -121,8 +121,8 @@
 /// How a transaction ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Commit {
-    /// All rows are written.
-    Done,
+    /// All rows are written, with this version where the service tells it.
+    Done(Option<u64>),
     /// A row had another version; nothing is written.
     Conflict,
 }
