tests: the gateway's processes before stand-ins of the platform; all logs on standard output

Every process writes its decisions to standard output through a bounded buffer. Twelve tests play a site of stand-ins: kinds, keys, ambiguous lengths, budgets over two routers, a kill, resumed and cut streams, lost answers, full and leaving upstreams, a planned stop, a store away at the start, entries that can't be read.

--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -42,7 +42,7 @@
     let logs = tracing_subscriber::fmt().with_env_filter(filter);
     let logs = logs.with_writer(writer).with_ansi(false);
     if json {
-        logs.json().flatten_event(true).with_target(false).init();
+        logs.json().flatten_event(true).init();
     } else {
         logs.init();
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,7 +20,6 @@
 pub use fescue_gateway::lifecycle;
 pub mod link;
 pub mod lock;
-pub mod logs;
 pub mod membership;
 pub mod metrics;
 pub mod router;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -7,7 +7,8 @@
 use argh::FromArgs;
 use fescue_core::settings::Settings;
 use fescue_router::router::{Ended, Router};
-use fescue_router::{logs, secrets::Secrets};
+use fescue_gateway::logs;
+use fescue_router::secrets::Secrets;
 use miette::{IntoDiagnostic, WrapErr};
 
 /// Routes language model and service calls against prepaid token budgets.
@@ -65,7 +66,7 @@
         println!("{name} is fine");
         return Ok(ExitCode::SUCCESS);
     }
-    logs::open(&settings.log)?;
+    let _logs = logs::open(&settings.log.filter, settings.log.json)?;
     stop_on_panic();
     run(settings, secrets)
 }
--- /dev/null
+++ b/crates/router/tests/suite/gateway.rs
@@ -0,0 +1,335 @@
+//! The gateway as a process before stand-ins of the users' platform.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescue_site::caller::{Ask, Kind, Seen, send};
+use fescue_site::engine::{Faults, Record, Upstream};
+use fescue_site::manifest::{ENGINES, LEDGER, Team, entry, manifest};
+use fescue_site::process::{Gateway, Ports, Start};
+use fescue_site::store::{self, Running, Store};
+use http::StatusCode;
+use parking_lot::Mutex;
+use rustix::process::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const READY: Duration = Duration::from_secs(10);
+
+struct Site {
+    store: Running,
+    record: Arc<Mutex<Record>>,
+    engines: Vec<Upstream>,
+    ledgers: Vec<Upstream>,
+    team: Team,
+    folder: PathBuf,
+}
+
+impl Site {
+    /// Opens a site with two engines, two ledgers and one team.
+    async fn open(name: &str, prepaid: u64) -> Self {
+        let store = Store::spawn().await.expect("a store");
+        let record: Arc<Mutex<Record>> = Arc::default();
+        let mut site = Self {
+            store,
+            record,
+            engines: Vec::new(),
+            ledgers: Vec::new(),
+            team: Team::new("yard", prepaid),
+            folder: std::env::temp_dir().join(format!("fescue-{name}-{}", std::process::id())),
+        };
+        std::fs::create_dir_all(&site.folder).expect("a folder");
+        for index in 0..2 {
+            let engine = Upstream::spawn(&format!("e-{index}"), &site.record).await;
+            site.engines.push(engine.expect("an engine"));
+            let ledger = Upstream::spawn(&format!("l-{index}"), &site.record).await;
+            site.ledgers.push(ledger.expect("a ledger"));
+        }
+        for engine in &site.engines {
+            site.list(engine, ENGINES, false);
+        }
+        for ledger in &site.ledgers {
+            site.list(ledger, LEDGER, false);
+        }
+        let manifest = manifest(1, std::slice::from_ref(&site.team));
+        site.store.store.put("op", "config", &manifest);
+        site
+    }
+
+    fn list(&self, upstream: &Upstream, service: &str, draining: bool) {
+        let entry = entry(service, upstream.address, 8, draining);
+        self.store.store.put("servers", &upstream.id, &entry);
+    }
+
+    fn spawn(&self, vm: &str) -> Gateway {
+        let start = Start {
+            program: Path::new(env!("CARGO_BIN_EXE_fescuedrift")),
+            folder: &self.folder,
+            vm,
+            store: self.store.address,
+            ports: Ports::find().expect("ports"),
+        };
+        Gateway::spawn(&start).expect("a gateway")
+    }
+
+    async fn ready(&self, vm: &str) -> Gateway {
+        let gateway = self.spawn(vm);
+        assert!(gateway.await_ready(READY).await, "the gateway is ready");
+        gateway
+    }
+
+    fn ask(&self, kind: Kind, id: &str) -> Ask {
+        Ask::new(kind, &self.team, id)
+    }
+
+    fn runs(&self, id: &str) -> u32 {
+        self.record.lock().runs.get(id).copied().unwrap_or_default()
+    }
+
+    fn tokens(&self) -> u64 {
+        let record = self.record.lock();
+        record.tokens.get(&self.team.name).copied().unwrap_or_default()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        if let Err(error) = std::fs::remove_dir_all(&self.folder) {
+            eprintln!("{} can't be removed: {error}", self.folder.display());
+        }
+    }
+}
+
+fn status(seen: &Seen) -> Option<u16> {
+    match seen {
+        Seen::Refused { status, .. } => Some(status.as_u16()),
+        _ => None,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_serves_each_kind() {
+    let site = Site::open("kinds", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    for kind in Kind::ALL {
+        let id = format!("{kind:?}");
+        let seen = send(gateway.ports.callers, &site.ask(kind, &id)).await;
+        assert!(matches!(seen, Seen::Served { .. }), "{kind:?}: {seen:?}");
+        assert_eq!(site.runs(&id), 1);
+    }
+    assert_eq!(site.record.lock().unnamed, Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refuses_what_no_route_or_key_allows() {
+    let site = Site::open("keys", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    let mut ask = site.ask(Kind::Read, "a");
+    ask.key = "another".to_owned();
+    let seen = send(gateway.ports.callers, &ask).await;
+    assert_eq!(status(&seen), Some(401), "{seen:?}");
+    assert_eq!(site.runs("a"), 0);
+}
+
+/// A request with both a length and chunks may hide another one; neither is run.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refuses_ambiguous_lengths() {
+    let site = Site::open("smuggle", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    let request = |framing: &str| {
+        format!(
+            "POST /read/1 HTTP/1.1\r\nhost: site.example\r\n\
+             authorization: Bearer key-of-yard\r\nx-fescuedrift-attempt-id: outer\r\n{framing}\r\n\
+             0\r\n\r\nGET /read/2 HTTP/1.1\r\nhost: site.example\r\n\
+             authorization: Bearer key-of-yard\r\nx-fescuedrift-attempt-id: inner\r\n\r\n"
+        )
+    };
+    let framings = [
+        "content-length: 150\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: chunked\r\ncontent-length: 150\r\n",
+        "content-length: 5\r\ncontent-length: 150\r\n",
+    ];
+    for framing in framings {
+        let mut stream = TcpStream::connect(gateway.ports.callers).await.expect("a connection");
+        stream.write_all(request(framing).as_bytes()).await.expect("sent");
+        let mut answer = Vec::new();
+        // The connection may be reset over what was left unread.
+        let _read = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{framing}: {answer}");
+    }
+    assert_eq!((site.runs("outer"), site.runs("inner")), (0, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_never_spends_more_than_prepaid() {
+    let site = Site::open("budget", 1_000).await;
+    let one = site.ready("vm-1").await;
+    let two = site.ready("vm-2").await;
+    let mut served = 0;
+    for index in 0..24 {
+        let gateway = if index % 2 == 0 { &one } else { &two };
+        let ask = site.ask(Kind::Draft, &format!("b-{index}"));
+        match send(gateway.ports.callers, &ask).await {
+            Seen::Served { .. } => served += 1,
+            seen => assert!(matches!(status(&seen), Some(402 | 503)), "{seen:?}"),
+        }
+    }
+    assert!(site.tokens() <= 1_000, "{} tokens", site.tokens());
+    // Each takes 130 tokens; false refusals would leave more than one request's worth.
+    assert!(served >= 6, "{served} served of seven that fit");
+}
+
+/// Found in the design: the process of a VM dies, and the next one can spend what was left.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_recovers_tokens_after_a_kill() {
+    let site = Site::open("kill", 2_000).await;
+    let gateway = site.ready("vm-1").await;
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Draft, "k-0")).await;
+    assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+    drop(gateway);
+    let next = site.ready("vm-1").await;
+    let mut served = 0;
+    for index in 1..16 {
+        let ask = site.ask(Kind::Draft, &format!("k-{index}"));
+        let seen = send(next.ports.callers, &ask).await;
+        served += u32::from(matches!(seen, Seen::Served { .. }));
+    }
+    assert!(site.tokens() <= 2_000, "{} tokens", site.tokens());
+    assert!(served >= 10, "{served} served of fourteen that fit");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_resumes_a_broken_stream_where_allowed() {
+    let site = Site::open("resume", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    let cut = Faults {
+        cut_percent: 100,
+        ..Faults::default()
+    };
+    // Placement by prefix chooses one of the two; the other one goes on.
+    site.engines[0].set_faults(cut);
+    for index in 0..8 {
+        let mut ask = site.ask(Kind::Chat, &format!("r-{index}"));
+        ask.input = 100 + index;
+        ask.events = 20;
+        let seen = send(gateway.ports.callers, &ask).await;
+        assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+    }
+    let mut broken = 0;
+    for index in 0..8 {
+        let ask = site.ask(Kind::Draft, &format!("d-{index}"));
+        let seen = send(gateway.ports.callers, &ask).await;
+        assert!(matches!(seen, Seen::Served { .. } | Seen::Broken(_)), "{seen:?}");
+        broken += u32::from(matches!(seen, Seen::Broken(_)));
+        assert_eq!(site.runs(&ask.id), 1);
+    }
+    let resumed = gateway.lines("message", "stream resumed").len();
+    assert!(resumed + broken as usize > 0, "no engine with faults was used");
+}
+
+/// A request that may not be repeated runs once, and its lost answer is not called "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_runs_once_when_the_answer_is_lost() {
+    let site = Site::open("lost", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    for ledger in &site.ledgers {
+        ledger.set_faults(Faults {
+            lose_percent: 100,
+            ..Faults::default()
+        });
+    }
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Record, "once")).await;
+    assert!(matches!(status(&seen), Some(502 | 504)), "{seen:?}");
+    assert_eq!(site.runs("once"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_tries_elsewhere_when_an_upstream_is_full() {
+    let site = Site::open("full", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    site.ledgers[0].set_faults(Faults {
+        full_percent: 100,
+        ..Faults::default()
+    });
+    for index in 0..6 {
+        let ask = site.ask(Kind::Record, &format!("f-{index}"));
+        let seen = send(gateway.ports.callers, &ask).await;
+        assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+        assert_eq!(site.record.lock().once.get(&ask.id), Some(&1));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_sends_nothing_new_to_a_leaving_upstream() {
+    let site = Site::open("drain", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    site.list(&site.ledgers[0], LEDGER, true);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.ledgers[0].set_faults(Faults {
+        lose_percent: 100,
+        ..Faults::default()
+    });
+    for index in 0..6 {
+        let ask = site.ask(Kind::Record, &format!("l-{index}"));
+        let seen = send(gateway.ports.callers, &ask).await;
+        assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+    }
+}
+
+/// A planned stop cuts no stream, and a second signal changes nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_ends_open_streams_at_a_stop() {
+    let site = Site::open("stop", 1_000_000).await;
+    let mut gateway = site.ready("vm-1").await;
+    let mut ask = site.ask(Kind::Draft, "long");
+    ask.events = 200;
+    let callers = gateway.ports.callers;
+    let open = tokio::spawn(async move { send(callers, &ask).await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    gateway.signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    gateway.signal(Signal::TERM);
+    assert_eq!(gateway.readiness().await, Some(StatusCode::SERVICE_UNAVAILABLE));
+    let during = send(callers, &site.ask(Kind::Record, "during")).await;
+    assert!(matches!(during, Seen::Served { .. }), "{during:?}");
+    let seen = open.await.expect("a caller");
+    assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+    assert_eq!(gateway.await_exit(Duration::from_secs(9)).await, Some(0));
+}
+
+/// While the store is away at the start, nobody is told that a route or key doesn't exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_without_a_store_promises_nothing() {
+    let site = Site::open("away", 1_000_000).await;
+    site.store.store.set_faults(store::Faults {
+        busy: true,
+        ..store::Faults::default()
+    });
+    let gateway = site.spawn("vm-1");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(gateway.readiness().await, Some(StatusCode::SERVICE_UNAVAILABLE));
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Read, "early")).await;
+    assert_eq!(status(&seen), Some(503), "{seen:?}");
+    site.store.store.set_faults(store::Faults::default());
+    assert!(gateway.await_ready(READY).await);
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Read, "late")).await;
+    assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+}
+
+/// A configuration that can't be read changes nothing; the log names what is wrong.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_keeps_the_last_good_configuration() {
+    let site = Site::open("bad", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    site.store.store.put_bytes("op", "config", b"{\"version\": 2}");
+    site.store.store.put_bytes("servers", "e-9", b"{}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Chat, "after")).await;
+    assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+    let lines = gateway.lines("message", "entry can't be read");
+    let reasons: Vec<_> = lines.iter().map(|line| line["reason"].to_string()).collect();
+    assert!(reasons.iter().any(|reason| reason.contains("routes")), "{reasons:?}");
+    assert!(reasons.iter().any(|reason| reason.contains("service")), "{reasons:?}");
+}
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! The integration suite of the router, a file a feature.
 
 mod fleet;
+mod gateway;
 mod money_deaths;
 mod money_figures;
 mod money_generated;
--- a/crates/router/tests/suite/site/process.rs
+++ b/crates/router/tests/suite/site/process.rs
@@ -35,14 +35,14 @@
             .arg("--settings")
             .arg(settings)
             .env_remove("FESCUE_LOG")
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the router starts");
         let log = Arc::new(Mutex::new(Vec::new()));
-        let stderr = child.stderr.take().expect("its log");
+        let stdout = child.stdout.take().expect("its log");
         let kept = Arc::clone(&log);
         std::thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
                 match serde_json::from_str(&line) {
                     Ok(value) => kept.lock().push(value),
                     Err(_) => eprintln!("{line}"),
