--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -228,7 +228,15 @@
         let commit = gateway.table.transact(&transaction).await?;
         if let Commit::Done(version) = commit {
             accept(gateway, &view, prepaid);
-            self.own = version.map(|version| (Row { version, ..view.row }, view.holder));
+            self.own = version.map(|version| {
+                (
+                    Row {
+                        version,
+                        ..view.row
+                    },
+                    view.holder,
+                )
+            });
         }
         Ok(commit)
     }
@@ -407,7 +415,10 @@
     for (team, license) in &view.holder.licenses {
         let balance = escrow.balance(team);
         balance.accept(*license, view.holder.since);
-        let read = view.accounts.as_ref().and_then(|accounts| accounts.get(team));
+        let read = view
+            .accounts
+            .as_ref()
+            .and_then(|accounts| accounts.get(team));
         if let (Some((_, account)), Some(prepaid)) = (read, prepaid.get(team)) {
             balance.learn(Known {
                 granted: account.granted,
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -161,7 +161,10 @@
         }
         let gone = self.gateway.servers.lock().drop_missing();
         for id in gone {
-            tracing::info!(upstream = id.as_str(), "upstream is still missing; it is gone");
+            tracing::info!(
+                upstream = id.as_str(),
+                "upstream is still missing; it is gone"
+            );
         }
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -152,9 +152,17 @@
             }
         }
         *gateway.peers.lock() = peers;
-        let live = self.seen.values().filter(|seen| seen.1 < SILENT_SCANS).count();
+        let live = self
+            .seen
+            .values()
+            .filter(|seen| seen.1 < SILENT_SCANS)
+            .count();
         if live != gateway.routers() {
-            tracing::info!(live, before = gateway.routers(), "number of live routers changed");
+            tracing::info!(
+                live,
+                before = gateway.routers(),
+                "number of live routers changed"
+            );
             gateway.set_routers(live);
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -75,11 +75,7 @@
 
 impl Gateway {
     /// Opens the tables of a process that starts.
-    pub fn open(
-        settings: Settings,
-        dialect: Box<dyn Dialect>,
-        table: Arc<dyn Table>,
-    ) -> Arc<Self> {
+    pub fn open(settings: Settings, dialect: Box<dyn Dialect>, table: Arc<dyn Table>) -> Arc<Self> {
         Arc::new(Self {
             settings,
             incarnation: Incarnation::new(rand::random()),
@@ -177,12 +173,7 @@
     pub fn reserve(&self, team: &TeamId, tokens: Tokens) -> Reserved {
         let clock = self.table.clock().unwrap_or_default();
         let mut escrow = self.escrow.lock();
-        let reserved = escrow.balance(team).reserve(tokens, clock);
-        drop(escrow);
-        if reserved != Reserved::Done {
-            self.need.notify_one();
-        }
-        reserved
+        escrow.balance(team).reserve(tokens, clock)
     }
 
     /// Follows the teams' rates of spending.
@@ -244,6 +235,33 @@
     }
 }
 
+/// A request that waits for tokens, until it is dropped.
+pub struct Waiting {
+    gateway: Arc<Gateway>,
+    team: TeamId,
+    tokens: Tokens,
+}
+
+impl Waiting {
+    /// Counts a request as waiting.
+    pub fn start(gateway: &Arc<Gateway>, team: &TeamId, tokens: Tokens) -> Self {
+        gateway.escrow.lock().balance(team).start_waiting(tokens);
+        gateway.need.notify_one();
+        Self {
+            gateway: Arc::clone(gateway),
+            team: team.clone(),
+            tokens,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut escrow = self.gateway.escrow.lock();
+        escrow.balance(&self.team).end_waiting(self.tokens);
+    }
+}
+
 /// Tokens of a team that are set aside for one request; settled when dropped.
 pub struct Reservation {
     gateway: Arc<Gateway>,
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -114,7 +114,10 @@
             team: team.clone(),
             tokens: wanted,
         };
-        let sent = asks.outgoing.as_ref().map(|out| out.try_send((*peer, transfer)));
+        let sent = asks
+            .outgoing
+            .as_ref()
+            .map(|out| out.try_send((*peer, transfer)));
         if !matches!(sent, Some(Ok(()))) {
             tracing::debug!("a question for tokens can't be sent");
         }
@@ -186,7 +189,13 @@
     if !given.is_zero() {
         let (team, number) = (transfer.team.as_str(), transfer.number);
         let asked = transfer.tokens.get();
-        tracing::info!(team, number, asked, given = given.get(), "tokens handed over");
+        tracing::info!(
+            team,
+            number,
+            asked,
+            given = given.get(),
+            "tokens handed over"
+        );
     }
     Transfer {
         tokens: given,
@@ -197,7 +206,10 @@
 fn receive(gateway: &Gateway, transfer: &Transfer) {
     let mut asks = gateway.asks.lock();
     if asks.open.remove(&transfer.number).is_none() {
-        tracing::info!(number = transfer.number, "an answer with tokens came too late or twice");
+        tracing::info!(
+            number = transfer.number,
+            "an answer with tokens came too late or twice"
+        );
         return;
     }
     let nothing = transfer.tokens.is_zero();
@@ -210,7 +222,12 @@
         escrow.balance(&transfer.team).receive(transfer.tokens);
         drop(escrow);
         let (team, number) = (transfer.team.as_str(), transfer.number);
-        tracing::info!(team, number, tokens = transfer.tokens.get(), "tokens received");
+        tracing::info!(
+            team,
+            number,
+            tokens = transfer.tokens.get(),
+            "tokens received"
+        );
     }
     gateway.gifts.send_modify(|gifts| *gifts += 1);
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -127,7 +127,10 @@
 ) -> Result<Response<Reply>, Infallible> {
     let head = tap.take_head();
     if let Some(problem) = head.ambiguous() {
-        return Ok(close(refuse(&Refusal::not_run(Reason::BadRequest, problem))));
+        return Ok(close(refuse(&Refusal::not_run(
+            Reason::BadRequest,
+            problem,
+        ))));
     }
     let limits = gateway.catalog().map(|catalog| catalog.manifest().limits);
     if limits.is_some_and(|limits| head.len() > limits.header_bytes) {
--- a/crates/gateway/src/ingress/tap.rs
+++ b/crates/gateway/src/ingress/tap.rs
@@ -49,7 +49,9 @@
         }
         record.since.get_or_insert_with(Instant::now);
         let room = RECORDED.saturating_sub(record.bytes.len());
-        record.bytes.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        record
+            .bytes
+            .extend_from_slice(&bytes[..bytes.len().min(room)]);
     }
 
     /// Returns how long the head that is arriving has taken so far.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -186,7 +186,11 @@
         let headers = response.headers();
         let verdict = self.gateway.dialect.verdict(response.status(), headers);
         if verdict.id.as_ref().is_some_and(|id| *id != self.call.id) {
-            tracing::warn!(request = self.call.id, other = verdict.id, "answer of another request");
+            tracing::warn!(
+                request = self.call.id,
+                other = verdict.id,
+                "answer of another request"
+            );
             return Err(Failure::Broke);
         }
         if verdict.declined || verdict.misdirected {
@@ -242,7 +246,10 @@
         }
         match failure {
             Failure::NotSent => !self.tried.is_empty(),
-            _ => self.sends < self.route.attempts.max(1) && self.gateway.take_retry(&self.service.name),
+            _ => {
+                self.sends < self.route.attempts.max(1)
+                    && self.gateway.take_retry(&self.service.name)
+            }
         }
     }
 
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -19,7 +19,7 @@
 
 use crate::border::Malformed;
 use crate::catalog::{Catalog, choose_service};
-use crate::gateway::{Gateway, Reservation};
+use crate::gateway::{Gateway, Reservation, Waiting};
 use crate::handover;
 use crate::job::Job;
 use crate::model::{Call, Kind, Route, Service, Team};
@@ -216,9 +216,8 @@
     let mut bytes = BytesMut::with_capacity((announced as usize).min(BODY_START));
     loop {
         let frame = timeout_at(until, body.frame()).await;
-        let frame = frame.map_err(|_| {
-            Refusal::not_run(Reason::SlowCaller, "the body did not arrive in time")
-        })?;
+        let frame = frame
+            .map_err(|_| Refusal::not_run(Reason::SlowCaller, "the body did not arrive in time"))?;
         match frame {
             None => return Ok(bytes.freeze()),
             Some(Err(error)) => {
@@ -226,7 +225,9 @@
                 return Err(Refusal::not_run(Reason::BadRequest, message));
             }
             Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else { continue };
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
                 if bytes.len() + data.len() > limits.body_bytes {
                     return Err(too_large());
                 }
@@ -284,7 +285,10 @@
 /// Hashes what makes a request the same when its caller sends it again.
 fn fingerprint(head: &Parts, team: Option<&TeamId>, body: &[u8]) -> u64 {
     let team = team.map_or("", TeamId::as_str);
-    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("", |target| target.as_str());
     let text = format!("{} {target} {team} {:x}", head.method, hash::long(body));
     hash::short(text.as_bytes())
 }
@@ -303,6 +307,8 @@
     let give_up = until.min(Instant::now() + DRAW_WAIT);
     let mut round = gateway.round.subscribe();
     let mut gifts = gateway.gifts.subscribe();
+    gateway.escrow.lock().balance(&team.name).ask(bound);
+    let mut waiting = None;
     loop {
         let reserved = gateway.reserve(&team.name, bound);
         let known = gateway.escrow.lock().balance(&team.name).known();
@@ -315,6 +321,7 @@
         if reserved == Reserved::Exhausted && fresh && !asked {
             return Err(exhausted(team, bound.get(), known));
         }
+        waiting.get_or_insert_with(|| Waiting::start(gateway, &team.name, bound));
         let waited = tokio::select! {
             waited = timeout_at(give_up, round.changed()) => waited.is_ok(),
             _ = gifts.changed() => true,
@@ -330,11 +337,10 @@
     }
 }
 
-fn exhausted(
-    team: &Team,
-    bound: u64,
-    known: Option<fescue_policy::escrow::Known>,
-) -> Refusal {
-    let message = format!("{bound} tokens are not covered for team {}: {known:?}", team.name);
+fn exhausted(team: &Team, bound: u64, known: Option<fescue_policy::escrow::Known>) -> Refusal {
+    let message = format!(
+        "{bound} tokens are not covered for team {}: {known:?}",
+        team.name
+    );
     Refusal::not_run(Reason::Budget, message)
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -77,10 +77,17 @@
     server.recycle(link);
     let failed = head.status >= StatusCode::INTERNAL_SERVER_ERROR;
     if failed && job.may_continue(Failure::Broke) {
-        tracing::info!(request = job.call.id, status = head.status.as_u16(), "upstream failed");
+        tracing::info!(
+            request = job.call.id,
+            status = head.status.as_u16(),
+            "upstream failed"
+        );
         return Err(Failure::Broke);
     }
-    job.gateway.metrics.first_byte.observe(job.arrival.elapsed().as_secs_f64());
+    job.gateway
+        .metrics
+        .first_byte
+        .observe(job.arrival.elapsed().as_secs_f64());
     job.finish(head.status, &server.entry.id, "answered", Tokens::ZERO);
     let mut response = Response::new(whole(body));
     *response.status_mut() = head.status;
@@ -92,7 +99,9 @@
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
-        let Ok(data) = frame.into_data() else { continue };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
         if bytes.len() + data.len() > ANSWER_BYTES {
             return Err(format!("the answer is over {ANSWER_BYTES} bytes"));
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -14,7 +14,9 @@
 
 /// Answers whether the gateway takes requests: 200 or 503.
 pub async fn serve_ready(gateway: Arc<Gateway>, listener: TcpListener) {
-    let app = Router::new().route("/readyz", get(ready)).with_state(gateway);
+    let app = Router::new()
+        .route("/readyz", get(ready))
+        .with_state(gateway);
     if let Err(error) = axum::serve(listener, app).await {
         tracing::error!(%error, "the listener for readiness ended");
     }
@@ -30,7 +32,9 @@
 /// Serves the metrics as text.
 pub async fn serve_metrics(gateway: Arc<Gateway>, logs: Arc<Logs>, listener: TcpListener) {
     let state = (gateway, logs);
-    let app = Router::new().route("/metrics", get(metrics)).with_state(state);
+    let app = Router::new()
+        .route("/metrics", get(metrics))
+        .with_state(state);
     if let Err(error) = axum::serve(listener, app).await {
         tracing::error!(%error, "the listener for metrics ended");
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -75,7 +75,11 @@
     );
     let (drain, draining) = watch::channel(false);
     for topic in [Topic::Configuration, Topic::Upstreams] {
-        tokio::spawn(feeds::follow(Arc::clone(&gateway), Arc::clone(&registry), topic));
+        tokio::spawn(feeds::follow(
+            Arc::clone(&gateway),
+            Arc::clone(&registry),
+            topic,
+        ));
     }
     let (goal, goals) = watch::channel(budget::Goal::Serve);
     let budget = tokio::spawn(budget::run(Arc::clone(&gateway), goals));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -107,12 +107,19 @@
         Err(failure) => return Err(job.refusal(failure)),
     };
     let elapsed = job.arrival.elapsed();
-    job.gateway.metrics.first_byte.observe(elapsed.as_secs_f64());
+    job.gateway
+        .metrics
+        .first_byte
+        .observe(elapsed.as_secs_f64());
     let (events, relayed) = mpsc::channel(WAITING_EVENTS);
     let mut response = Response::new(Either::Right(Relayed(relayed)));
     *response.status_mut() = started.head.status;
     *response.headers_mut() = end_to_end(&started.head.headers);
-    tracing::info!(request = job.call.id, ms = elapsed.as_millis() as u64, "stream started");
+    tracing::info!(
+        request = job.call.id,
+        ms = elapsed.as_millis() as u64,
+        "stream started"
+    );
     let relay = Relay {
         job,
         events,
@@ -136,10 +143,6 @@
             },
             Err(failure) => failure,
         };
-        if !failure.proves_not_run() {
-            // The upstream may have read the prompt, also when no answer came.
-            tally.count_input(job);
-        }
         if !job.may_continue(failure) {
             return Err(failure);
         }
@@ -217,7 +220,8 @@
 }
 
 impl Tally {
-    /// Counts the prompt, once for all upstreams that read it.
+    /// Counts the prompt, once for all upstreams that read it. It counts with the head of the first
+    /// answer: a request that got none has cost its team nothing.
     fn count_input(&mut self, job: &Job) {
         if let Some(reservation) = self.reservation.as_mut().filter(|_| !self.counted) {
             reservation.consume(job.call.input);
@@ -260,15 +264,29 @@
         };
         drop(caller);
         match ended {
-            Some(Ok(upstream)) => self.job.finish(status, &upstream, "streamed", self.tally.consumed()),
+            Some(Ok(upstream)) => {
+                self.job
+                    .finish(status, &upstream, "streamed", self.tally.consumed())
+            }
             Some(Err(failure)) => {
                 let reason = "stream_cut";
-                tracing::info!(request = self.job.call.id, ?failure, events = self.count, "cut");
-                self.job.finish(status, &self.upstream(), reason, self.tally.consumed());
+                tracing::info!(
+                    request = self.job.call.id,
+                    ?failure,
+                    events = self.count,
+                    "cut"
+                );
+                self.job
+                    .finish(status, &self.upstream(), reason, self.tally.consumed());
                 // The receiver may have gone, which ends the stream as well.
                 let _sent = self.events.send(Err(Cut)).await;
             }
-            None => self.job.finish(status, &self.upstream(), "caller_left", self.tally.consumed()),
+            None => self.job.finish(
+                status,
+                &self.upstream(),
+                "caller_left",
+                self.tally.consumed(),
+            ),
         }
     }
 
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -148,9 +148,9 @@
     reserved: Tokens,
     /// What other routers handed over; it counts as spent in their licenses.
     received: Tokens,
-    /// What requests that found too little need, the largest.
-    short: Tokens,
-    /// What was reserved and not released since the last look.
+    /// What the requests need that wait for tokens.
+    waiting: Tokens,
+    /// What was asked for since the last look, less what was not consumed.
     recent: Tokens,
     /// Tokens a second.
     rate: f64,
@@ -189,9 +189,8 @@
 impl Balance {
     /// Returns what can be reserved at the store's time `clock`.
     pub fn available(&self, clock: Duration) -> Tokens {
-        let allowed = |license: &License, since: Duration| {
-            license.allows(clock.saturating_sub(since))
-        };
+        let allowed =
+            |license: &License, since: Duration| license.allows(clock.saturating_sub(since));
         let pending = self.pending.iter();
         let pending = pending.map(|(_, license, since)| allowed(license, *since));
         let least = pending.fold(allowed(&self.current, self.since), Tokens::min);
@@ -245,14 +244,27 @@
         self.known
     }
 
+    /// Counts what a request asks for, once, whether it gets it or not.
+    pub fn ask(&mut self, tokens: Tokens) {
+        self.recent = self.recent.saturating_add(tokens);
+    }
+
+    /// Counts a request as waiting for tokens.
+    pub fn start_waiting(&mut self, tokens: Tokens) {
+        self.waiting = self.waiting.saturating_add(tokens);
+    }
+
+    /// Counts a request as no longer waiting.
+    pub fn end_waiting(&mut self, tokens: Tokens) {
+        self.waiting = self.waiting.saturating_sub(tokens);
+    }
+
     /// Sets tokens aside for a request.
     pub fn reserve(&mut self, tokens: Tokens, clock: Duration) -> Reserved {
         if self.available(clock) >= tokens {
             self.reserved = self.reserved.saturating_add(tokens);
-            self.recent = self.recent.saturating_add(tokens);
             return Reserved::Done;
         }
-        self.short = self.short.max(tokens);
         let missing = tokens.saturating_sub(self.unused());
         match self.known {
             Some(known) if known.left() < missing => Reserved::Exhausted,
@@ -297,8 +309,8 @@
         let unused = self.unused();
         let used = self.used();
         let left = prepaid.saturating_sub(account.granted);
-        let missing = self.short.saturating_sub(unused);
-        let target = self.target(left, prepaid, routers).max(self.short);
+        let missing = self.waiting.saturating_sub(unused);
+        let target = self.target(left, prepaid, routers).max(self.waiting);
         let holds = if account.granted > prepaid {
             Tokens::ZERO
         } else if unused < target.scale(LOW_WATER) {
@@ -315,7 +327,7 @@
         let granted = used.saturating_add(holds.saturating_sub(spare));
         let lasting = HEADROOM + pace(routers);
         let headroom = Tokens::new((self.rate * lasting.as_secs_f64()) as u64);
-        let headroom = headroom.max(self.short);
+        let headroom = headroom.max(self.waiting).min(holds);
         // What is held can be spent in an outage, also by a team that is idle now.
         let steady = holds.scale(1.0 / RELEASE.as_secs_f64());
         let rate = Tokens::new((self.rate * LICENSED_RATE) as u64).max(steady);
@@ -334,17 +346,13 @@
         let enough = self.available(clock) >= headroom.scale(LOW_WATER);
         // Once its rate counts, a license allows more than a dead process should keep.
         let tight = clock < self.since || self.unused().is_zero();
-        self.pending.is_empty()
-            && tight
-            && self.current.granted == plan.granted
-            && enough
-            && self.short <= self.available(clock)
+        self.pending.is_empty() && tight && self.current.granted == plan.granted && enough
     }
 
     /// Returns how urgently the planned license must replace the present one: above one while
     /// requests wait, otherwise the part of the planned holding that is missing.
     pub fn urgency(&self, plan: &License) -> f64 {
-        if !self.short.is_zero() {
+        if !self.waiting.is_zero() {
             return 2.0;
         }
         let planned = plan.granted.saturating_sub(self.used()).get() as f64;
@@ -362,7 +370,6 @@
         self.current = license;
         self.since = since;
         self.pending.clear();
-        self.short = Tokens::ZERO;
     }
 
     /// Takes over the license that stands in the VM's row of a version; what was proposed on other
--- a/crates/router/src/admin/budgets.rs
+++ b/crates/router/src/admin/budgets.rs
@@ -6,8 +6,8 @@
 use axum::extract::{Path, Query, State};
 use axum::http::StatusCode;
 use fescue_core::{BudgetId, ChangeId, Incarnation, TeamId, Tokens};
-use fescue_store::TableError;
 use fescue_policy::account::AccountError;
+use fescue_store::TableError;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
--- a/crates/router/src/allowance/clearing.rs
+++ b/crates/router/src/allowance/clearing.rs
@@ -7,11 +7,11 @@
 
 use fescue_core::{BudgetId, Incarnation, Tokens};
 use fescue_peer::{Link, PeerError};
-use fescue_store::TableError;
-use fescue_store::accounts::Accounts;
 use fescue_policy::ledger::Parts;
 use fescue_policy::witness::{self, Noted, Notes};
 use fescue_policy::{account::AccountError, duty};
+use fescue_store::TableError;
+use fescue_store::accounts::Accounts;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::Mutex;
--- a/crates/router/src/allowance/plan.rs
+++ b/crates/router/src/allowance/plan.rs
@@ -6,9 +6,9 @@
 use fescue_core::quantity::MAX_BUDGET;
 use fescue_core::rules::Setting;
 use fescue_core::{BudgetId, Tokens};
-use fescue_store::accounts::Exchange;
 use fescue_policy::ledger::Ledger;
 use fescue_policy::sizing::{Horizon, Outlook, Policy};
+use fescue_store::accounts::Exchange;
 
 use crate::blackboard::Board;
 
--- a/crates/router/src/allowance/round.rs
+++ b/crates/router/src/allowance/round.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use fescue_core::{BudgetId, Incarnation, Tokens};
-use fescue_store::TableError;
-use fescue_store::accounts::{Accounts, Exchange};
 use fescue_policy::account::AccountError;
 use fescue_policy::ledger::Parts;
 use fescue_policy::sizing::{Outlook, Policy};
+use fescue_store::TableError;
+use fescue_store::accounts::{Accounts, Exchange};
 use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
 
--- a/crates/router/src/archive.rs
+++ b/crates/router/src/archive.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use fescue_core::hash;
-use fescue_store::billing::{Billing, unix_time};
 use fescue_policy::bills::Bucket;
 use fescue_policy::duty;
+use fescue_store::billing::{Billing, unix_time};
 
 use crate::blackboard::Board;
 
--- a/crates/router/src/billing.rs
+++ b/crates/router/src/billing.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use fescue_core::{BudgetId, RequestId, Tokens};
-use fescue_store::TableError;
-use fescue_store::billing::Billing;
 use fescue_policy::bills::{Bill, BillId, Entered};
 use fescue_policy::ledger::Reservation;
+use fescue_store::TableError;
+use fescue_store::billing::Billing;
 
 use crate::blackboard::Board;
 use crate::copies::Copying;
--- a/crates/router/src/closing.rs
+++ b/crates/router/src/closing.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use fescue_core::{BudgetId, ChangeId, Incarnation, Tokens};
+use fescue_policy::account::{AllowanceRow, Closing};
+use fescue_policy::{duty, witness};
 use fescue_store::TableError;
 use fescue_store::accounts::Accounts;
 use fescue_store::billing::Billing;
-use fescue_policy::account::{AllowanceRow, Closing};
-use fescue_policy::{duty, witness};
 use indexmap::IndexMap;
 
 use crate::blackboard::Board;
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_store::accounts::Accounts;
 use fescue_policy::account::Closing;
+use fescue_store::accounts::Accounts;
 
 use crate::allowance::Rounds;
 use crate::billing::Biller;
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -15,9 +15,9 @@
 use fescue_core::outcome::Reason;
 use fescue_core::rules::Service;
 use fescue_core::{Execution, Refusal, RequestId, ServiceId, Tokens, hash};
-use fescue_store::claims::{Answer, ClaimRow, Claimed};
 use fescue_policy::ledger::Reservation;
 use fescue_policy::retry::{self, Failure};
+use fescue_store::claims::{Answer, ClaimRow, Claimed};
 
 use super::caller::Caller;
 use super::{Front, answer, intake};
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -6,8 +6,8 @@
 
 use argh::FromArgs;
 use fescue_core::settings::Settings;
-use fescue_router::router::{Ended, Router};
 use fescue_gateway::logs;
+use fescue_router::router::{Ended, Router};
 use fescue_router::secrets::Secrets;
 use miette::{IntoDiagnostic, WrapErr};
 
--- a/crates/router/tests/suite/fleet.rs
+++ b/crates/router/tests/suite/fleet.rs
@@ -13,14 +13,14 @@
 
 use fescue_core::rules::{Book, Delta};
 use fescue_core::{BudgetId, Incarnation, Tokens};
+use fescue_policy::account::TopUpRow;
+use fescue_router::membership;
+use fescue_standin::platform::{Faults as StoreFaults, Memory};
 use fescue_store::accounts::Accounts;
 use fescue_store::billing::Billing;
 use fescue_store::config::Config;
 use fescue_store::table::scan_all;
 use fescue_store::{Row, Table, TableError};
-use fescue_policy::account::TopUpRow;
-use fescue_router::membership;
-use fescue_standin::platform::{Faults as StoreFaults, Memory};
 
 /// A fleet over one table.
 pub struct Fleet {
--- a/crates/router/tests/suite/fleet/wire.rs
+++ b/crates/router/tests/suite/fleet/wire.rs
@@ -7,10 +7,10 @@
 use async_trait::async_trait;
 use fescue_core::Incarnation;
 use fescue_peer::{Copies, Greeting, Link, PeerError, Take};
-use fescue_store::{Commit, Row, Table, TableError, Transaction};
 use fescue_policy::ledger::Parts;
 use fescue_policy::witness::{Noted, Notes, Report};
 use fescue_standin::platform::Memory;
+use fescue_store::{Commit, Row, Table, TableError, Transaction};
 use parking_lot::Mutex;
 
 use super::Node;
--- a/crates/router/tests/suite/money_deaths.rs
+++ b/crates/router/tests/suite/money_deaths.rs
@@ -1,7 +1,7 @@
 //! Told stories of routers that die, freeze or are cut off for good, and of the money they held.
 
-use fescue_store::TableError;
 use fescue_policy::account::AccountError;
+use fescue_store::TableError;
 
 use crate::fleet::{Fleet, budget};
 
--- a/crates/router/tests/suite/money_stories.rs
+++ b/crates/router/tests/suite/money_stories.rs
@@ -3,9 +3,9 @@
 use fescue_core::Execution;
 use fescue_core::outcome::Reason;
 
+use fescue_policy::bills::WINDOW;
 use fescue_store::Table;
 use fescue_store::billing::unix_time;
-use fescue_policy::bills::WINDOW;
 
 use crate::fleet::Fleet;
 
--- a/crates/router/tests/suite/process_stops.rs
+++ b/crates/router/tests/suite/process_stops.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use fescue_core::rules::{Book, Delta};
+use fescue_standin::platform::Faults;
 use fescue_store::accounts::Accounts;
 use fescue_store::config::{Applied, Config};
-use fescue_standin::platform::Faults;
 use rustix::process::Signal;
 
 use crate::site::{QUICK, SLOW, Site, chat, eventually, expected_text, purchase};
--- a/crates/router/tests/suite/rules_in_force.rs
+++ b/crates/router/tests/suite/rules_in_force.rs
@@ -1,8 +1,8 @@
 //! Rules rise and never go back, through restarts, outages and long absences.
 
 use fescue_core::rules::Delta;
-use fescue_store::config::{Applied, Change, Config};
 use fescue_router::blackboard::{Rules, Taken};
+use fescue_store::config::{Applied, Change, Config};
 
 use crate::fleet::Fleet;
 
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -13,15 +13,15 @@
 use fescue_core::hash::key_digest;
 use fescue_core::rules::{Book, Delta};
 use fescue_core::{BudgetId, Tokens};
-use fescue_store::accounts::Accounts;
-use fescue_store::billing::Billing;
-use fescue_store::config::{Applied, Config};
-use fescue_store::{Vm, VmState};
 use fescue_standin::caller::{Answer, Ask, Caller};
 use fescue_standin::engine::{self, Engine, Profile};
 use fescue_standin::platform::{self, Memory};
 use fescue_standin::server::Server;
 use fescue_standin::service::{self, Service};
+use fescue_store::accounts::Accounts;
+use fescue_store::billing::Billing;
+use fescue_store::config::{Applied, Config};
+use fescue_store::{Vm, VmState};
 
 /// The bearer key of the team `yard`.
 pub const KEY: &str = "yard-key";
