--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -8,7 +8,7 @@
 use fescue_core::{Execution, Refusal, TeamId, Tokens, UpstreamId};
 use fescue_policy::retry::{Failure, may_retry};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::link::{Link, LinkError};
 use crate::model::{Call, Route, Service};
+use crate::reply::{Reply, whole};
 use crate::upstreams::{Demand, Place};
 
 /// How long a request waits for an upstream to be listed at most.
@@ -320,6 +321,14 @@
     header::PROXY_AUTHENTICATE,
 ];
 
+/// Makes the caller's answer out of an upstream's whole answer.
+pub fn pass_on(head: &response::Parts, body: Bytes) -> Response<Reply> {
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end(&head.headers);
+    response
+}
+
 /// Copies headers, less those that concern only one connection.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = headers
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -43,10 +43,16 @@
         Self { machine }
     }
 
-    /// Takes an event.
-    pub fn handle(&mut self, event: Event) -> Phase {
+    /// Takes an event; returns the new phase where it changed.
+    pub fn handle(&mut self, event: Event) -> Option<Phase> {
+        let before = self.phase();
         self.machine.handle(&event);
-        self.phase()
+        let after = self.phase();
+        if before == after {
+            return None;
+        }
+        tracing::info!(?event, ?before, ?after, "phase changed");
+        Some(after)
     }
 
     /// Returns what the router may do.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -10,15 +10,15 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::job::{Job, Opened, end_to_end};
-use crate::reply::{Reply, whole};
+use crate::job::{Job, Opened, pass_on};
+use crate::reply::Reply;
 
 /// The largest answer that is held back until it is whole, in bytes.
 const ANSWER_BYTES: usize = 4 << 20;
 
 /// An idempotent request is tried elsewhere once its first upstream has taken this many times the
 /// route's target.
-const PATIENCE: u32 = 2;
+const TARGETS_PER_TRY: u32 = 2;
 
 /// The shortest time that an upstream is given before an idempotent request is tried elsewhere.
 const SHORTEST_TRY: Duration = Duration::from_millis(120);
@@ -50,8 +50,8 @@
     if !more {
         return job.until;
     }
-    let patience = (job.route.target * PATIENCE).max(SHORTEST_TRY);
-    job.until.min(Instant::now() + patience)
+    let limit = (job.route.target * TARGETS_PER_TRY).max(SHORTEST_TRY);
+    job.until.min(Instant::now() + limit)
 }
 
 /// Reads the rest of an answer.
@@ -89,10 +89,7 @@
         .first_byte
         .observe(job.arrival.elapsed().as_secs_f64());
     job.finish(head.status, &server.entry.id, "answered", Tokens::ZERO);
-    let mut response = Response::new(whole(body));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = end_to_end(&head.headers);
-    Ok(response)
+    Ok(pass_on(&head, body))
 }
 
 async fn collect(mut body: Incoming) -> Result<Bytes, String> {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,6 +3,7 @@
 //! Only whole events are relayed, so that a stream which breaks inside one can go on at another
 //! upstream. A stream that can't go on is cut without the body's end.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,9 +16,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::{Reservation, Running};
-use crate::job::{Job, Opened, end_to_end};
+use crate::job::{Job, Opened, end_to_end, pass_on};
 use crate::link::Link;
-use crate::reply::{Cut, Relayed, Reply, whole};
+use crate::reply::{Cut, Relayed, Reply};
 use crate::sse::{Event, Splitter};
 use crate::upstreams::Place;
 
@@ -179,10 +180,7 @@
         let server = place.server();
         server.recycle(link);
         job.finish(head.status, &server.entry.id, "answered", tally.consumed());
-        let mut response = Response::new(whole(body));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = end_to_end(&head.headers);
-        return Ok(Start::Whole(response));
+        return Ok(Start::Whole(pass_on(&head, body)));
     }
     tally.count_input(job);
     let mut source = Source {
@@ -301,7 +299,7 @@
             let failure = loop {
                 match next {
                     Next::End => {
-                        let server = std::sync::Arc::clone(source.place.server());
+                        let server = Arc::clone(source.place.server());
                         server.recycle(source.link);
                         return Ok(server.entry.id.clone());
                     }
--- a/crates/gateway/tests/suite/upstreams.rs
+++ b/crates/gateway/tests/suite/upstreams.rs
@@ -4,7 +4,7 @@
 
 use fescue_core::{ServiceId, UpstreamId};
 use fescue_gateway::model::Upstream;
-use fescue_gateway::upstreams::{Demand, Servers};
+use fescue_gateway::upstreams::{Demand, Place, Servers};
 use tokio::time::advance;
 
 fn upstream(id: &str, draining: bool) -> Upstream {
@@ -24,7 +24,7 @@
     text.parse().expect("an id")
 }
 
-fn place(servers: &Servers) -> Option<String> {
+fn place(servers: &Servers) -> Option<Place> {
     let service: ServiceId = "plain".parse().expect("a service");
     let demand = Demand {
         service: &service,
@@ -33,7 +33,12 @@
         tried: &[],
         tie: 1,
     };
-    let place = servers.place(Duration::ZERO, &demand, "here")?;
+    servers.place(Duration::ZERO, &demand, "here")
+}
+
+/// Returns the upstream that a request would go to.
+fn chosen(servers: &Servers) -> Option<String> {
+    let place = place(servers)?;
     Some(place.server().entry.id.to_string())
 }
 
@@ -41,9 +46,9 @@
 async fn place_never_at_a_draining_upstream() {
     let mut servers = Servers::default();
     servers.put(upstream("a", false));
-    assert_eq!(place(&servers), Some("a".to_owned()));
+    assert_eq!(chosen(&servers), Some("a".to_owned()));
     servers.put(upstream("a", true));
-    assert_eq!(place(&servers), None);
+    assert_eq!(chosen(&servers), None);
 }
 
 /// An entry that is missing after an outage of the store is used for two more seconds, no longer.
@@ -53,11 +58,11 @@
     servers.put(upstream("a", false));
     servers.mark_missing(&[], Duration::from_secs(2));
     advance(Duration::from_millis(1900)).await;
-    assert_eq!(place(&servers), Some("a".to_owned()));
+    assert_eq!(chosen(&servers), Some("a".to_owned()));
     advance(Duration::from_millis(200)).await;
-    assert_eq!(place(&servers), None);
+    assert_eq!(chosen(&servers), None);
     servers.put(upstream("a", false));
-    assert_eq!(place(&servers), Some("a".to_owned()));
+    assert_eq!(chosen(&servers), Some("a".to_owned()));
 }
 
 /// Found on fibre-coco, day fresh-1cd2: an entry that was removed while the store answered was
@@ -67,26 +72,16 @@
     let mut servers = Servers::default();
     servers.put(upstream("a", false));
     assert!(servers.remove(&id("a")));
-    assert_eq!(place(&servers), None);
+    assert_eq!(chosen(&servers), None);
 }
 
 #[tokio::test(start_paused = true)]
 async fn place_falls_back_on_upstreams_that_failed_lately() {
     let mut servers = Servers::default();
     servers.put(upstream("a", false));
-    let service: ServiceId = "plain".parse().expect("a service");
-    let demand = Demand {
-        service: &service,
-        prefix: None,
-        input: 0,
-        tried: &[],
-        tie: 1,
-    };
     for _ in 0..5 {
-        let place = servers
-            .place(Duration::ZERO, &demand, "here")
-            .expect("a place");
+        let place = place(&servers).expect("a place");
         place.server().learn(Duration::ZERO, false);
     }
-    assert_eq!(place(&servers), Some("a".to_owned()));
+    assert_eq!(chosen(&servers), Some("a".to_owned()));
 }
--- a/crates/router/src/blackboard.rs
+++ b/crates/router/src/blackboard.rs
@@ -174,13 +174,9 @@
 
     /// Takes an event of the router's life.
     pub fn handle(&self, event: Event) {
-        let mut lifecycle = self.lifecycle.lock();
-        let before = lifecycle.phase();
-        let after = lifecycle.handle(event);
-        drop(lifecycle);
-        if before != after {
-            tracing::info!(?event, ?before, ?after, "the router's phase changed");
-            self.phase.send_replace(after);
+        let changed = self.lifecycle.lock().handle(event);
+        if let Some(phase) = changed {
+            self.phase.send_replace(phase);
         }
     }
 
--- a/crates/router/tests/suite/gateway.rs
+++ b/crates/router/tests/suite/gateway.rs
@@ -297,7 +297,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_ends_open_streams_at_a_stop() {
     let site = Site::open("stop", 1_000_000).await;
-    let mut gateway = site.ready("vm-1").await;
+    let gateway = site.ready("vm-1").await;
     let mut ask = site.ask(Kind::Draft, "long");
     ask.events = 200;
     let callers = gateway.ports.callers;
@@ -372,7 +372,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_stops_while_callers_keep_coming() {
     let site = Site::open("coming", 1_000_000).await;
-    let mut gateway = site.ready("vm-1").await;
+    let gateway = site.ready("vm-1").await;
     let callers = gateway.ports.callers;
     let team = site.team.clone();
     let load = tokio::spawn(async move {
