--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -57,10 +57,11 @@
     let mut scans = 0_u32;
     loop {
         let started = Instant::now();
-        if let Err(error) = fleet.round(&gateway, &*table, scans).await {
+        let done = fleet.round(&gateway, &*table, scans).await;
+        gateway.metrics.count_store("fleet", done.is_ok());
+        if let Err(error) = done {
             tracing::info!(%error, "the fleet's rows can't be read or written");
         }
-        gateway.metrics.count_store("fleet", true);
         scans = scans.wrapping_add(1);
         sleep(SCAN.saturating_sub(started.elapsed())).await;
     }
