budget: one home per team draws for the fleet and hands tokens over

Cause: with 83 routers each drew its own share of each team's tokens: shares of some 1,300 tokens, where a request takes 6,000 to 34,000, and 83 writers that failed each other's transactions. Change: rendezvous hashing over the live routers names a home and a backup for each team. The home draws for the whole fleet; other routers ask it by datagram, are told at once when a team is exhausted, refill before they run out and return what they don't need. Gifts and returns have numbers and are taken once; a return names the process that may take it. A router that is no home writes nothing. Silence of a home moves its askers to the backup. Tests: policy homes and escrow (84 askers of an empty home, pieces too small, surplus), the gateway's generated stories with returns. plan_leaves_something_for_other_routers asserted the former shares; it is replaced by what homes, backups and others may hold.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -48,7 +48,7 @@
     let mut controller = Controller::open(Arc::clone(&gateway));
     let mut last = Instant::now();
     loop {
-        let pace = escrow::pace(gateway.routers());
+        let pace = escrow::pace(writers(&gateway));
         // A need wakes the controller early; otherwise the round comes anyway.
         let _woken = timeout(pace, gateway.need.notified()).await;
         gateway.observe_spending(last.elapsed());
@@ -148,6 +148,9 @@
         if prepaid.is_empty() {
             return Ok(Commit::Done(None));
         }
+        if goal == Goal::Serve && self.own.is_some() && is_idle(&gateway, &prepaid) {
+            return Ok(Commit::Done(None));
+        }
         let mut view = self.read_own().await?;
         let stale = self
             .accounts_read
@@ -170,6 +173,7 @@
         reconcile(&gateway, &view, &prepaid);
         let licenses = plan(&gateway, &view, &prepaid, goal, most);
         if licenses.is_empty() && !view.closing {
+            clear_unmet(&gateway);
             self.own = Some((view.row, view.holder));
             return Ok(Commit::Done(None));
         }
@@ -216,7 +220,7 @@
         let gateway = &self.gateway;
         // Accrual starts late, and is counted from a time no later than the store's own.
         let clock = gateway.table.clock().unwrap_or_default();
-        view.holder.since = clock + escrow::rate_delay(gateway.routers());
+        view.holder.since = clock + escrow::rate_delay(writers(gateway));
         let mut transaction = Transaction::default();
         transaction.replace(&view.row, &view.holder);
         for team in changed.keys() {
@@ -228,6 +232,7 @@
         let commit = gateway.table.transact(&transaction).await?;
         if let Commit::Done(version) = commit {
             accept(gateway, &view, prepaid);
+            clear_unmet(gateway);
             self.own = version.map(|version| {
                 (
                     Row {
@@ -242,6 +247,21 @@
     }
 }
 
+/// Returns how many routers hold licenses, about: as many as there are homes.
+fn writers(gateway: &Gateway) -> usize {
+    let catalog = gateway.catalog();
+    let teams = catalog.and_then(|catalog| catalog.manifest().teams.as_ref().map(Vec::len));
+    gateway.routers().min(teams.unwrap_or(usize::MAX)).max(1)
+}
+
+/// Returns whether this router needs nothing of the store and has nothing to give back.
+fn is_idle(gateway: &Gateway, prepaid: &IndexMap<TeamId, Tokens>) -> bool {
+    let peers = gateway.peers.lock();
+    let mut escrow = gateway.escrow.lock();
+    let mut teams = prepaid.keys();
+    teams.all(|team| escrow.balance(team).is_idle(peers.role(team)))
+}
+
 /// Returns what each team prepaid.
 fn prepaid(gateway: &Gateway) -> IndexMap<TeamId, Tokens> {
     let Some(catalog) = gateway.catalog() else {
@@ -323,11 +343,12 @@
     goal: Goal,
     most: usize,
 ) -> IndexMap<TeamId, License> {
-    let routers = gateway.routers();
+    let writers = writers(gateway);
     let clock = gateway.table.clock().unwrap_or_default();
     let mut planned = IndexMap::new();
     let mut settled = true;
     let mut moves = Vec::new();
+    let peers = gateway.peers.lock();
     let mut escrow = gateway.escrow.lock();
     for (team, prepaid) in prepaid {
         let balance = escrow.balance(team);
@@ -344,7 +365,7 @@
             Goal::Serve => *prepaid,
             Goal::Stop => Tokens::ZERO,
         };
-        let license = balance.plan(&account, prepaid, routers);
+        let license = balance.plan(&account, prepaid, peers.role(team), writers);
         if license.granted != held.granted {
             moves.push((balance.urgency(&license), team.clone(), held.granted));
         }
@@ -408,6 +429,14 @@
     }
 }
 
+/// Forgets what other routers asked for in vain before the round; they ask again.
+fn clear_unmet(gateway: &Gateway) {
+    let mut escrow = gateway.escrow.lock();
+    escrow
+        .iter_mut()
+        .for_each(|(_, balance)| balance.clear_unmet());
+}
+
 /// Takes over what was just written.
 fn accept(gateway: &Gateway, view: &View, prepaid: &IndexMap<TeamId, Tokens>) {
     let at = gateway.now();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::gateway::Gateway;
+use crate::peers::Peer;
 
 /// Where the rows are.
 const PREFIX: &str = "fleet/";
@@ -33,6 +34,10 @@
 /// After how many scans without a change a router counts as gone.
 const SILENT_SCANS: u32 = 9;
 
+/// After how many scans a new router knows the others: those that started with it had time to
+/// write their rows.
+const SETTLED_SCANS: u32 = 2;
+
 /// The suspects that are written at once.
 const MOST_SUSPECTS: usize = 50;
 
@@ -72,6 +77,9 @@
     /// The version of each router's row and the scans since it changed.
     seen: HashMap<String, (u64, u32)>,
     beats: u64,
+    /// Whether a former process of this VM had a row.
+    returned: bool,
+    scans: u32,
 }
 
 impl Fleet {
@@ -86,6 +94,12 @@
             let count = accused.len().min(MOST_SUSPECTS);
             accused.drain(..count).collect::<Vec<_>>()
         };
+        if scans == 0 {
+            // A router that was here before finds the others' rows and its own former one.
+            let rows = scan_all(table, PREFIX).await?;
+            let own = format!("{ROUTERS}{}", gateway.settings.vm);
+            self.returned = rows.iter().any(|row| row.key == own);
+        }
         if scans.is_multiple_of(SCANS_PER_BEAT) || !accused.is_empty() {
             let written = self.write(gateway, table, &accused).await;
             if written.is_err() {
@@ -135,7 +149,9 @@
                 };
                 let live = seen.1 < SILENT_SCANS && name != gateway.settings.vm.as_str();
                 match row.decode::<Beat>() {
-                    Ok(Some(beat)) if live => peers.push(beat.address),
+                    Ok(Some(beat)) if live => {
+                        peers.push(Peer::new(name, beat.address, beat.incarnation));
+                    }
                     Ok(_) => {}
                     Err(error) => tracing::warn!(%error, "a router's row can't be read"),
                 }
@@ -152,7 +168,9 @@
                 }
             }
         }
-        *gateway.peers.lock() = peers;
+        self.scans += 1;
+        let settled = self.returned || self.scans >= SETTLED_SCANS;
+        gateway.peers.lock().set(peers, settled);
         let live = self
             .seen
             .values()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,10 +2,10 @@
 //!
 //! # Lock order
 //!
-//! No function holds two of these locks at once, and none holds one across an `await`.
+//! `handover` before `peers` before `escrow`; no other two are held at once, and none across an
+//! `await`.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -21,9 +21,10 @@
 
 use crate::border::Dialect;
 use crate::catalog::Catalog;
-use crate::handover::Asks;
+use crate::handover::Handover;
 use crate::lifecycle::{Event, Lifecycle, Phase};
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::upstreams::Servers;
 
@@ -47,10 +48,10 @@
     pub suspects: Mutex<Suspects>,
     /// Fingerprints to tell the other routers of.
     pub accused: Mutex<Vec<u64>>,
-    /// Where the other live routers hear this one.
-    pub peers: Mutex<Vec<SocketAddr>>,
-    /// What was asked of other routers.
-    pub asks: Mutex<Asks>,
+    /// The other live routers.
+    pub peers: Mutex<Peers>,
+    /// What routers asked each other for tokens.
+    pub handover: Mutex<Handover>,
     /// Counts the answers of other routers.
     pub gifts: watch::Sender<u64>,
     /// Signals a change of the upstreams or the configuration.
@@ -76,6 +77,7 @@
 impl Gateway {
     /// Opens the tables of a process that starts.
     pub fn open(settings: Settings, dialect: Box<dyn Dialect>, table: Arc<dyn Table>) -> Arc<Self> {
+        let peers = Mutex::new(Peers::open(&settings.vm));
         Arc::new(Self {
             settings,
             incarnation: Incarnation::new(rand::random()),
@@ -86,8 +88,8 @@
             escrow: Mutex::default(),
             suspects: Mutex::default(),
             accused: Mutex::default(),
-            peers: Mutex::default(),
-            asks: Mutex::default(),
+            peers,
+            handover: Mutex::default(),
             gifts: watch::Sender::new(0),
             changed: Notify::new(),
             need: Notify::new(),
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -1,152 +1,170 @@
-//! Routers hand tokens over to each other while the store can't be reached or has none left.
+//! Routers hand tokens over to each other: a team's home to those that serve its requests, and
+//! these return what they don't need.
 //!
-//! The giver counts the tokens as spent before it answers, so a lost answer loses tokens and never
-//! doubles them. The taker takes an answer once, by the number of its question. Messages are
-//! datagrams of one JSON object.
+//! Whoever gives counts the tokens as spent before it sends them, so a lost message loses tokens
+//! and never doubles them. Messages have numbers: each is answered the same when it is repeated,
+//! and an answer is taken once. They are datagrams of one JSON object. See
+//! [docs/design/platform.md](../../../docs/design/platform.md).
+
+mod asks;
+mod returns;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::{TeamId, Tokens};
-use rand::seq::IndexedRandom;
+use fescue_core::{Incarnation, TeamId, Tokens};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::gateway::Gateway;
+use asks::Asks;
+pub use asks::{PAUSE, Turn, ask};
+use returns::Returns;
+pub use returns::return_all;
 
-/// The pause between two questions about one team.
-pub const PAUSE: Duration = Duration::from_millis(40);
-
-/// How many routers are asked at once.
-const ASKED: usize = 2;
-
-/// For how long nobody is asked about a team again after all that were asked had nothing.
-const BARREN: Duration = Duration::from_millis(400);
-
-/// How many answers without tokens make a team barren.
-const BARREN_ANSWERS: u32 = 4;
+/// The pause between two looks at what runs low or isn't needed.
+const TICK: Duration = Duration::from_millis(100);
 
-/// How long a question may be answered; a late answer is dropped.
-const ANSWERED: Duration = Duration::from_secs(2);
-
-/// The questions that are open at most.
-const MOST_ASKS: usize = 512;
+/// How old the account may be that a home tells of.
+const TOLD_AGE: Duration = Duration::from_secs(2);
 
 /// The largest message.
 const MESSAGE_BYTES: usize = 512;
 
 /// The messages that wait to be sent at most.
-const QUEUED: usize = 64;
+const QUEUED: usize = 256;
+
+/// The numbers of taken messages that are remembered; far more than arrive while a router that is
+/// suspended repeats one.
+const REMEMBERED: usize = 8192;
 
 /// What routers say to each other.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Message {
     /// A question for tokens of a team.
-    Ask(Transfer),
-    /// The answer, with as many as could be spared.
-    Gift(Transfer),
+    Ask(Ask),
+    /// The answer.
+    Gift(Gift),
+    /// Tokens that aren't needed.
+    Return(Return),
+    /// The answer.
+    Taken(Taken),
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Ask {
+    number: u64,
+    team: TeamId,
+    /// What a request lacks.
+    needed: Tokens,
+    /// What would be good to have.
+    wanted: Tokens,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Transfer {
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Gift {
     number: u64,
     team: TeamId,
+    /// Nothing, where the need isn't covered.
     tokens: Tokens,
+    /// What is left for the team here and in its account, where that is known and nothing is given.
+    left: Option<Tokens>,
+    from: Incarnation,
 }
 
-/// What this router asked for.
-#[derive(Debug, Default)]
-pub struct Asks {
-    open: HashMap<u64, Instant>,
-    teams: HashMap<TeamId, Asked>,
-    outgoing: Option<mpsc::Sender<(SocketAddr, Transfer)>>,
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Return {
+    number: u64,
+    team: TeamId,
+    tokens: Tokens,
+    /// The start of the home that may take them: a later one can't know whether they were taken.
+    to: Incarnation,
 }
 
-#[derive(Debug)]
-struct Asked {
-    at: Instant,
-    /// Answers in a row that brought nothing.
-    empty: u32,
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Taken {
+    number: u64,
+    from: Incarnation,
 }
 
-/// Asks other routers for tokens of a team; returns whether an answer can be waited for.
-pub fn ask(gateway: &Gateway, team: &TeamId, tokens: Tokens) -> bool {
-    let peers = gateway.peers.lock().clone();
-    if peers.is_empty() {
-        return false;
-    }
-    let clock = gateway.table.clock().unwrap_or_default();
-    let wanted = gateway.escrow.lock().balance(team).wanted(tokens, clock);
-    let mut asks = gateway.asks.lock();
-    if let Some(asked) = asks.teams.get_mut(team) {
-        let since = asked.at.elapsed();
-        if asked.empty >= BARREN_ANSWERS && since < BARREN {
-            return false;
-        }
-        if asked.empty >= BARREN_ANSWERS {
-            asked.empty = 0;
-        }
-        if since < PAUSE {
-            return true;
-        }
-        asked.at = Instant::now();
-    } else {
-        let asked = Asked {
-            at: Instant::now(),
-            empty: 0,
-        };
-        asks.teams.insert(team.clone(), asked);
-    }
-    asks.open.retain(|_, at| at.elapsed() < ANSWERED);
-    for peer in peers.choose_multiple(&mut rand::rng(), ASKED) {
-        if asks.open.len() >= MOST_ASKS {
-            return false;
-        }
-        let number = rand::random();
-        asks.open.insert(number, Instant::now());
-        let transfer = Transfer {
-            number,
-            team: team.clone(),
-            tokens: wanted,
-        };
-        let sent = asks
+/// What this router asked, was asked, and returned.
+#[derive(Debug, Default)]
+pub struct Handover {
+    asks: Asks,
+    returns: Returns,
+    /// The gifts that were given, by number.
+    given: Recent<Gift>,
+    /// The returns that were taken, by number.
+    taken: Recent<()>,
+    outgoing: Option<mpsc::Sender<(SocketAddr, Message)>>,
+}
+
+impl Handover {
+    fn send(&self, to: SocketAddr, message: Message) {
+        let sent = self
             .outgoing
             .as_ref()
-            .map(|out| out.try_send((*peer, transfer)));
+            .map(|out| out.try_send((to, message)));
         if !matches!(sent, Some(Ok(()))) {
-            tracing::debug!("a question for tokens can't be sent");
+            tracing::debug!(%to, "a message about tokens can't be sent");
         }
     }
-    true
+}
+
+/// The last entries by number.
+#[derive(Debug)]
+struct Recent<T>(IndexMap<u64, T>);
+
+impl<T> Default for Recent<T> {
+    fn default() -> Self {
+        Self(IndexMap::new())
+    }
+}
+
+impl<T> Recent<T> {
+    fn get(&self, number: u64) -> Option<&T> {
+        self.0.get(&number)
+    }
+
+    fn insert(&mut self, number: u64, entry: T) {
+        if self.0.len() >= REMEMBERED {
+            // The oldest half goes at once, as taking out the first entry moves all others.
+            self.0.drain(..REMEMBERED / 2);
+        }
+        self.0.insert(number, entry);
+    }
 }
 
 /// Asks and answers for as long as the process runs.
 pub async fn run(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let (outgoing, mut questions) = mpsc::channel(QUEUED);
-    gateway.asks.lock().outgoing = Some(outgoing);
+    let (outgoing, mut queue) = mpsc::channel(QUEUED);
+    gateway.handover.lock().outgoing = Some(outgoing);
     let mut buffer = [0; MESSAGE_BYTES];
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            Some((peer, transfer)) = questions.recv() => {
-                send(&socket, peer, &Message::Ask(transfer)).await;
-            }
+            Some((peer, message)) = queue.recv() => send(&socket, peer, &message).await,
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, peer)) => {
-                    let answer = take(&gateway, &buffer[..length]);
-                    if let Some(answer) = answer {
+                    if let Some(answer) = take(&gateway, peer, &buffer[..length]) {
                         send(&socket, peer, &answer).await;
                     }
                 }
                 Err(error) => {
                     tracing::debug!(%error, "no message received");
-                    tokio::time::sleep(PAUSE).await;
+                    sleep(PAUSE).await;
                 }
             },
+            _ = ticks.tick() => {
+                asks::refill(&gateway);
+                returns::run_round(&gateway, true);
+            }
         }
     }
 }
@@ -164,70 +182,92 @@
     }
 }
 
-/// Takes a message; returns the answer to a question.
-fn take(gateway: &Gateway, bytes: &[u8]) -> Option<Message> {
+/// Takes a message; returns the answer to it.
+fn take(gateway: &Gateway, peer: SocketAddr, bytes: &[u8]) -> Option<Message> {
     match serde_json::from_slice(bytes) {
-        Ok(Message::Ask(transfer)) => Some(Message::Gift(give(gateway, transfer))),
-        Ok(Message::Gift(transfer)) => {
-            receive(gateway, &transfer);
+        Ok(Message::Ask(question)) => Some(Message::Gift(give(gateway, question))),
+        Ok(Message::Gift(gift)) => {
+            gateway.peers.lock().note_heard(peer, gift.from);
+            asks::receive(gateway, peer, &gift);
+            None
+        }
+        Ok(Message::Return(returned)) => take_back(gateway, &returned),
+        Ok(Message::Taken(taken)) => {
+            gateway.peers.lock().note_heard(peer, taken.from);
+            gateway.handover.lock().returns.close(taken.number);
             None
         }
         Err(error) => {
-            tracing::debug!(%error, "a message can't be read");
+            tracing::debug!(%peer, %error, "a message can't be read");
             None
         }
     }
 }
 
-fn give(gateway: &Gateway, transfer: Transfer) -> Transfer {
-    let clock = gateway.table.clock().unwrap_or_default();
-    let mut escrow = gateway.escrow.lock();
-    let given = escrow
-        .balance(&transfer.team)
-        .hand_over(transfer.tokens, clock);
-    drop(escrow);
-    if !given.is_zero() {
-        let (team, number) = (transfer.team.as_str(), transfer.number);
-        let asked = transfer.tokens.get();
-        tracing::info!(
-            team,
-            number,
-            asked,
-            given = given.get(),
-            "tokens handed over"
-        );
+/// Answers a question; a repeated one gets the same answer.
+fn give(gateway: &Gateway, question: Ask) -> Gift {
+    if let Some(gift) = gateway.handover.lock().given.get(question.number) {
+        return gift.clone();
     }
-    Transfer {
-        tokens: given,
-        ..transfer
+    let Ask {
+        number,
+        team,
+        needed,
+        wanted,
+    } = question;
+    let clock = gateway.table.clock().unwrap_or_default();
+    let since = gateway.now().saturating_sub(TOLD_AGE);
+    let (tokens, left) = {
+        let mut escrow = gateway.escrow.lock();
+        let balance = escrow.balance(&team);
+        let tokens = balance.hand_over(needed, wanted, clock);
+        let left = balance.left(since).filter(|_| tokens.is_zero());
+        (tokens, left)
+    };
+    tracing::info!(
+        team = team.as_str(),
+        number,
+        needed = needed.get(),
+        wanted = wanted.get(),
+        given = tokens.get(),
+        left = left.map(Tokens::get),
+        "asked for tokens"
+    );
+    let gift = Gift {
+        number,
+        team,
+        tokens,
+        left,
+        from: gateway.incarnation,
+    };
+    if tokens.is_zero() {
+        gateway.need.notify_one();
+    } else {
+        gateway.handover.lock().given.insert(number, gift.clone());
     }
+    gift
 }
 
-fn receive(gateway: &Gateway, transfer: &Transfer) {
-    let mut asks = gateway.asks.lock();
-    if asks.open.remove(&transfer.number).is_none() {
-        tracing::info!(
-            number = transfer.number,
-            "an answer with tokens came too late or twice"
-        );
-        return;
-    }
-    let nothing = transfer.tokens.is_zero();
-    if let Some(asked) = asks.teams.get_mut(&transfer.team) {
-        asked.empty = if nothing { asked.empty + 1 } else { 0 };
+/// Takes tokens back that another router doesn't need, once; a repeated message is only answered.
+fn take_back(gateway: &Gateway, returned: &Return) -> Option<Message> {
+    let (team, number, from) = (returned.team.as_str(), returned.number, gateway.incarnation);
+    if returned.to != from {
+        tracing::info!(team, number, to = %returned.to, "tokens were returned to a former process");
+        return None;
     }
-    drop(asks);
-    if !nothing {
+    let mut handover = gateway.handover.lock();
+    if handover.taken.get(number).is_none() {
+        handover.taken.insert(number, ());
         let mut escrow = gateway.escrow.lock();
-        escrow.balance(&transfer.team).receive(transfer.tokens);
-        drop(escrow);
-        let (team, number) = (transfer.team.as_str(), transfer.number);
+        let balance = escrow.balance(&returned.team);
+        balance.receive(returned.tokens);
+        balance.forget_demand(returned.tokens);
         tracing::info!(
             team,
             number,
-            tokens = transfer.tokens.get(),
-            "tokens received"
+            tokens = returned.tokens.get(),
+            "tokens taken back"
         );
     }
-    gateway.gifts.send_modify(|gifts| *gifts += 1);
+    Some(Message::Taken(Taken { number, from }))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod model;
+pub mod peers;
 pub mod pipeline;
 pub mod plain;
 pub mod probe;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use fescue_core::outcome::Reason;
-use fescue_core::{Refusal, TeamId, hash};
+use fescue_core::{Refusal, TeamId, Tokens, hash};
 use fescue_policy::escrow::Reserved;
 use fescue_policy::quarantine::Standing;
 use http::request::Parts;
@@ -20,7 +20,7 @@
 use crate::border::Malformed;
 use crate::catalog::{Catalog, choose_service};
 use crate::gateway::{Gateway, Reservation, Waiting};
-use crate::handover;
+use crate::handover::{self, Turn};
 use crate::job::Job;
 use crate::model::{Call, Kind, Route, Service, Team};
 use crate::reply::{Reply, refuse};
@@ -311,35 +311,38 @@
     let mut waiting = None;
     loop {
         let reserved = gateway.reserve(&team.name, bound);
-        let known = gateway.escrow.lock().balance(&team.name).known();
-        let age = known.map(|known| gateway.now().saturating_sub(known.at));
-        let asked = match reserved {
-            Reserved::Done => return Ok(Some(Reservation::hold(gateway, &team.name, bound))),
-            Reserved::Exhausted | Reserved::Short => handover::ask(gateway, &team.name, bound),
-        };
-        let fresh = age.is_some_and(|age| age < ACCOUNT_AGE);
-        if reserved == Reserved::Exhausted && fresh && !asked {
-            return Err(exhausted(team, bound.get(), known));
+        if reserved == Reserved::Done {
+            return Ok(Some(Reservation::hold(gateway, &team.name, bound)));
+        }
+        match handover::ask(gateway, &team.name, bound) {
+            Turn::Exhausted(left) => return Err(exhausted(team, bound, Some(left))),
+            Turn::Asked => {}
+            Turn::Own => {
+                let known = gateway.escrow.lock().balance(&team.name).known();
+                let age = known.map(|known| gateway.now().saturating_sub(known.at));
+                let fresh = age.is_some_and(|age| age < ACCOUNT_AGE);
+                if reserved == Reserved::Exhausted && fresh {
+                    return Err(exhausted(team, bound, known.map(|known| known.left())));
+                }
+                waiting.get_or_insert_with(|| Waiting::start(gateway, &team.name, bound));
+            }
         }
-        waiting.get_or_insert_with(|| Waiting::start(gateway, &team.name, bound));
         let waited = tokio::select! {
             waited = timeout_at(give_up, round.changed()) => waited.is_ok(),
             _ = gifts.changed() => true,
             () = sleep(handover::PAUSE) => Instant::now() < give_up,
         };
         if !waited {
-            if reserved == Reserved::Exhausted {
-                return Err(exhausted(team, bound.get(), known));
-            }
             let message = format!("tokens of team {} can't be drawn now", team.name);
             return Err(Refusal::not_run(Reason::StoreDown, message).after(DRAW_PAUSE));
         }
     }
 }
 
-fn exhausted(team: &Team, bound: u64, known: Option<fescue_policy::escrow::Known>) -> Refusal {
+fn exhausted(team: &Team, bound: Tokens, left: Option<Tokens>) -> Refusal {
+    let (bound, left) = (bound.get(), left.unwrap_or_default().get());
     let message = format!(
-        "{bound} tokens are not covered for team {}: {known:?}",
+        "the request takes up to {bound} tokens; team {} has {left} left",
         team.name
     );
     Refusal::not_run(Reason::Budget, message)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -66,6 +66,7 @@
         dialect,
     } = platform;
     let gateway = Gateway::open(settings, dialect, Arc::clone(&table));
+    gateway.peers.lock().unsettle();
     tracing::info!(
         vm = gateway.settings.vm.as_str(),
         data_centre = gateway.settings.data_centre.as_str(),
@@ -96,6 +97,7 @@
         }
     }
     stop(&gateway, &drain).await;
+    handover::return_all(&gateway).await;
     let end = Instant::now() + GIVE_BACK;
     goal.send_replace(budget::Goal::Stop);
     gateway.need.notify_one();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod bills;
 pub mod duty;
 pub mod escrow;
+pub mod homes;
 pub mod ledger;
 pub mod limit;
 pub mod placement;
--- a/crates/policy/tests/suite/main.rs
+++ b/crates/policy/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod affinity;
 mod escrow;
+mod homes;
 mod limits;
 mod load;
 mod placement;
