link: a router with a full link leaves the balancer's rotation; one that is cut off takes nothing

Change: bytes are counted on callers' connections; above 80% of the link the router isn't ready until the link was calm for 30 s, and some callers are asked to connect anew. A router whose link is full and that hasn't heard of the upstreams for 1.8 s refuses at once. Settings have link_mbps, checked. Tests: policy share; handover of the gateway over loopback (repeated questions, returns, silent homes).

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -88,6 +88,9 @@
             self.gateway.servers.lock().mark_missing(&listed, grace);
         }
         self.version = Some(batch.version);
+        if self.topic == Topic::Upstreams {
+            self.gateway.note_heard();
+        }
         let count = self.gateway.servers.lock().len();
         self.gateway.metrics.upstreams.set(count as i64);
         self.gateway.changed.notify_waiters();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,11 +23,16 @@
 use crate::catalog::Catalog;
 use crate::handover::Handover;
 use crate::lifecycle::{Event, Lifecycle, Phase};
+use crate::link_use::LinkUse;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::upstreams::Servers;
 
+/// For how long a router with a full link may not have heard of the upstreams; well under the time
+/// within which a leaving upstream must get no new work.
+const UNHEARD: Duration = Duration::from_millis(1800);
+
 /// The shared tables of one gateway.
 pub struct Gateway {
     /// Its settings.
@@ -50,6 +55,8 @@
     pub accused: Mutex<Vec<u64>>,
     /// The other live routers.
     pub peers: Mutex<Peers>,
+    /// How much of its VM's link it uses.
+    pub link: LinkUse,
     /// What routers asked each other for tokens.
     pub handover: Mutex<Handover>,
     /// Counts the answers of other routers.
@@ -70,6 +77,8 @@
     retries: Mutex<HashMap<ServiceId, RetryWindow>>,
     lifecycle: Mutex<Lifecycle>,
     connected: Mutex<Instant>,
+    /// When the upstreams were last heard of.
+    heard: Mutex<Instant>,
     end: Mutex<Option<Instant>>,
     start: Instant,
 }
@@ -78,6 +87,7 @@
     /// Opens the tables of a process that starts.
     pub fn open(settings: Settings, dialect: Box<dyn Dialect>, table: Arc<dyn Table>) -> Arc<Self> {
         let peers = Mutex::new(Peers::open(&settings.vm));
+        let link = LinkUse::open(settings.link_mbps);
         Arc::new(Self {
             settings,
             incarnation: Incarnation::new(rand::random()),
@@ -89,6 +99,7 @@
             suspects: Mutex::default(),
             accused: Mutex::default(),
             peers,
+            link,
             handover: Mutex::default(),
             gifts: watch::Sender::new(0),
             changed: Notify::new(),
@@ -101,6 +112,7 @@
             retries: Mutex::default(),
             lifecycle: Mutex::new(Lifecycle::open()),
             connected: Mutex::new(Instant::now()),
+            heard: Mutex::new(Instant::now()),
             end: Mutex::default(),
             start: Instant::now(),
         })
@@ -205,6 +217,18 @@
         end.map(|end| end.saturating_duration_since(Instant::now()))
     }
 
+    /// Notes that the list of upstreams is as new as the store's.
+    pub fn note_heard(&self) {
+        *self.heard.lock() = Instant::now();
+    }
+
+    /// Returns whether this router, alone among all, may not know of upstreams that leave: its own
+    /// link is full and the store's answers don't get through. While the store is away for all
+    /// routers, they use what they know.
+    pub fn is_cut_off(&self) -> bool {
+        self.link.is_full() && self.heard.lock().elapsed() > UNHEARD
+    }
+
     /// Notes that a caller connected.
     pub fn note_connection(&self) {
         *self.connected.lock() = Instant::now();
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -9,7 +9,7 @@
 
 use fescue_core::Refusal;
 use fescue_core::outcome::Reason;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -84,7 +84,8 @@
             answer(Arc::clone(&gateway), Arc::clone(&tap), request, draining)
         })
     };
-    let io = TokioIo::new(Tapped::new(stream, Arc::clone(&tap)));
+    let tapped = Tapped::new(stream, Arc::clone(&tap), Arc::clone(&gateway));
+    let io = TokioIo::new(tapped);
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(idle);
     builder.max_buf_size(BUFFER);
@@ -138,9 +139,12 @@
         *response.status_mut() = http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Ok(close(response));
     }
-    let response = pipeline::serve(gateway, request).await;
+    let response = pipeline::serve(Arc::clone(&gateway), request).await;
     tap.await_head();
-    Ok(if draining { close(response) } else { response })
+    // A caller that connects anew reaches another router.
+    let turned_away = response.status() == StatusCode::TOO_MANY_REQUESTS;
+    let leave = draining || turned_away || gateway.link.sheds();
+    Ok(if leave { close(response) } else { response })
 }
 
 /// Has the connection closed after an answer.
--- a/crates/gateway/src/ingress/tap.rs
+++ b/crates/gateway/src/ingress/tap.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::gateway::Gateway;
+
 /// The bytes of a head that are recorded at most.
 const RECORDED: usize = 64 * 1024;
 
@@ -107,15 +109,28 @@
     }
 }
 
-/// A connection whose heads are recorded.
+/// A connection whose heads are recorded and whose bytes are counted.
 pub(super) struct Tapped {
     stream: TcpStream,
     tap: Arc<Tap>,
+    gateway: Arc<Gateway>,
 }
 
 impl Tapped {
-    pub(super) fn new(stream: TcpStream, tap: Arc<Tap>) -> Self {
-        Self { stream, tap }
+    pub(super) fn new(stream: TcpStream, tap: Arc<Tap>, gateway: Arc<Gateway>) -> Self {
+        Self {
+            stream,
+            tap,
+            gateway,
+        }
+    }
+
+    /// Counts what was written.
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.gateway.link.count(bytes);
+        }
+        written
     }
 }
 
@@ -128,7 +143,9 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if matches!(read, Poll::Ready(Ok(()))) {
-            self.tap.record(&buffer.filled()[before..]);
+            let bytes = &buffer.filled()[before..];
+            self.tap.record(bytes);
+            self.gateway.link.count(bytes.len());
         }
         read
     }
@@ -140,7 +157,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.count(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -156,7 +174,8 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
+        self.count(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod job;
 pub mod lifecycle;
 pub mod link;
+pub mod link_use;
 pub mod logs;
 pub mod metrics;
 pub mod model;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -39,6 +39,9 @@
 /// When a caller should ask again at a router that is about to stop: it reaches another one.
 const STOPPING_PAUSE: Duration = Duration::from_millis(100);
 
+/// When a caller should ask again at a router whose link is full: it reaches another one.
+const FULL_PAUSE: Duration = Duration::from_millis(50);
+
 /// How long a stopping router must still live to take a stream; nine streams in ten are shorter.
 const STREAM_TIME: Duration = Duration::from_secs(4);
 
@@ -144,6 +147,10 @@
         let message = "the router stops before the request could end";
         return Err(Refusal::not_run(Reason::NotReady, message).after(STOPPING_PAUSE));
     }
+    if gateway.is_cut_off() {
+        let message = "the router's link is full, and it doesn't hear which upstreams leave";
+        return Err(Refusal::not_run(Reason::Overload, message).after(FULL_PAUSE));
+    }
     let fingerprint = fingerprint(&head, name.as_ref(), &body);
     if gateway.standing(fingerprint) == Standing::Guilty {
         // A service answer, not a client error: the request itself is well formed.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -24,6 +24,7 @@
 
 async fn ready(State(gateway): State<Arc<Gateway>>) -> StatusCode {
     match gateway.phase() {
+        Phase::Ready if gateway.link.is_busy() => StatusCode::SERVICE_UNAVAILABLE,
         Phase::Ready => StatusCode::OK,
         Phase::Starting | Phase::Draining | Phase::Stopped => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,7 +15,7 @@
 use crate::lifecycle::Event;
 use crate::logs::Logs;
 use crate::settings::Settings;
-use crate::{budget, feeds, fleet, handover, ingress, probe};
+use crate::{budget, feeds, fleet, handover, ingress, link_use, probe};
 
 /// What an adapter brings.
 pub struct Platform {
@@ -85,6 +85,7 @@
     let (goal, goals) = watch::channel(budget::Goal::Serve);
     let budget = tokio::spawn(budget::run(Arc::clone(&gateway), goals));
     tokio::spawn(handover::run(Arc::clone(&gateway), peers));
+    tokio::spawn(link_use::run(Arc::clone(&gateway)));
     tokio::spawn(fleet::run(Arc::clone(&gateway), Arc::clone(&table)));
     tokio::spawn(probe::serve_ready(Arc::clone(&gateway), ready));
     tokio::spawn(probe::serve_metrics(Arc::clone(&gateway), logs, metrics));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     #[serde(rename = "relist_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub relist: Duration,
+    /// What the VM's link carries each way, in megabits a second.
+    pub link_mbps: f64,
     /// What the fleet may retry.
     pub retries: Retries,
     /// The level of logs, as `tracing` filters are written.
@@ -91,7 +93,8 @@
     ///
     /// The first fault, with its line and column.
     pub fn parse(name: &str, text: &str) -> Result<Self, Box<Report>> {
-        serde_json::from_str(text).map_err(|error| {
+        let parsed = serde_json::from_str(text).and_then(Self::check);
+        parsed.map_err(|error| {
             let line = text.split('\n').take(error.line().saturating_sub(1));
             let before: usize = line.map(|line| line.len() + 1).sum();
             let at = before + error.column().saturating_sub(1);
@@ -100,6 +103,21 @@
         })
     }
 
+    /// Refuses what no gateway can run with.
+    fn check(self) -> Result<Self, serde_json::Error> {
+        let Self {
+            link_mbps, retries, ..
+        } = &self;
+        let fault = |message: String| Err(serde::de::Error::custom(message));
+        if *link_mbps <= 0.0 {
+            return fault(format!("link_mbps: {link_mbps} is not above zero"));
+        }
+        if retries.ratio < 0.0 || retries.extra < 0.0 {
+            return fault("retries: ratio and extra must not be below zero".to_owned());
+        }
+        Ok(self)
+    }
+
     /// Reads and parses a file.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/gateway/tests/suite/handover.rs
@@ -0,0 +1,205 @@
+//! Routers ask a team's home for tokens and return what they don't need, over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescue_core::{TeamId, Tokens};
+use fescue_gateway::gateway::Gateway;
+use fescue_gateway::handover::{self, Turn};
+use fescue_gateway::peers::Peer;
+use fescue_policy::escrow::{Known, License, Reserved};
+use fescue_policy::homes::Role;
+use serde_json::{Value, json};
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+
+use super::site::{Store, gateway};
+
+/// What the home holds of the team's tokens.
+const HELD: u64 = 100_000;
+
+/// How long an answer may take on loopback.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// A home and a router that asks it.
+struct Pair {
+    home: Arc<Gateway>,
+    asker: Arc<Gateway>,
+    team: TeamId,
+    address: SocketAddr,
+}
+
+async fn socket() -> (Arc<UdpSocket>, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    (Arc::new(socket), address)
+}
+
+impl Pair {
+    async fn start() -> Self {
+        let store = Store::open(1);
+        let (home, asker) = (gateway("vm-1", &store), gateway("vm-2", &store));
+        let (first, second) = (socket().await, socket().await);
+        let peer = |vm, address, other: &Gateway| Peer::new(vm, address, other.incarnation);
+        let peers = vec![peer("vm-2", second.1, &asker)];
+        home.peers.lock().set(peers, true);
+        let peers = vec![peer("vm-1", first.1, &home)];
+        asker.peers.lock().set(peers, true);
+        let team = team_of(&home);
+        let mut escrow = home.escrow.lock();
+        let license = License {
+            granted: Tokens::new(HELD),
+            base: Tokens::new(HELD),
+            ..License::default()
+        };
+        escrow.balance(&team).accept(license, Duration::ZERO);
+        escrow.balance(&team).learn(Known {
+            granted: Tokens::new(HELD),
+            prepaid: Tokens::new(HELD),
+            at: Duration::ZERO,
+        });
+        drop(escrow);
+        tokio::spawn(handover::run(Arc::clone(&home), first.0));
+        tokio::spawn(handover::run(Arc::clone(&asker), second.0));
+        Self {
+            home,
+            asker,
+            team,
+            address: first.1,
+        }
+    }
+
+    /// What the home can still spend.
+    fn held(&self) -> u64 {
+        let mut escrow = self.home.escrow.lock();
+        escrow.balance(&self.team).available(Duration::ZERO).get()
+    }
+
+    /// Ends a reservation of the asker.
+    fn settle(&self, reserved: u64, spent: u64) {
+        let mut escrow = self.asker.escrow.lock();
+        let balance = escrow.balance(&self.team);
+        balance.settle(Tokens::new(reserved), Tokens::new(spent));
+    }
+
+    /// Asks until the tokens are reserved or the turn is one of a kind.
+    async fn reserve(&self, tokens: u64, until: impl Fn(Turn) -> bool) -> Result<(), Turn> {
+        let tokens = Tokens::new(tokens);
+        let asked = async {
+            loop {
+                if self.asker.reserve(&self.team, tokens) == Reserved::Done {
+                    return Ok(());
+                }
+                let turn = handover::ask(&self.asker, &self.team, tokens);
+                if until(turn) {
+                    return Err(turn);
+                }
+                sleep(handover::PAUSE / 4).await;
+            }
+        };
+        timeout(PATIENCE, asked).await.expect("an answer")
+    }
+
+    /// Sends a message to the home as another router would; returns the answer, if any comes.
+    async fn say(&self, message: &Value) -> Option<Value> {
+        let (socket, _) = socket().await;
+        let bytes = message.to_string();
+        socket
+            .send_to(bytes.as_bytes(), self.address)
+            .await
+            .expect("sent");
+        let mut buffer = [0; 512];
+        let received = timeout(Duration::from_millis(300), socket.recv(&mut buffer)).await;
+        let length = received.ok()?.expect("an answer");
+        serde_json::from_slice(&buffer[..length]).ok()
+    }
+}
+
+/// Returns a team whose home a router is.
+fn team_of(home: &Gateway) -> TeamId {
+    let names = (0..100).map(|number| format!("team-{number}"));
+    let mut teams = names.map(|name| name.parse::<TeamId>().expect("a team"));
+    let team = teams.find(|team| home.peers.lock().role(team) == Role::Home);
+    team.expect("one of two routers is the home of about half")
+}
+
+#[tokio::test]
+async fn ask_home_covers_what_a_request_lacks() {
+    let pair = Pair::start().await;
+    assert_eq!(pair.asker.peers.lock().role(&pair.team), Role::Backup);
+    assert_eq!(pair.reserve(6_000, |_| false).await, Ok(()));
+    assert_eq!(pair.held(), HELD - 6_000);
+}
+
+#[tokio::test]
+async fn ask_exhausted_home_says_so_at_once() {
+    let pair = Pair::start().await;
+    let refused = pair
+        .reserve(HELD + 1, |turn| matches!(turn, Turn::Exhausted(_)))
+        .await;
+    assert_eq!(refused, Err(Turn::Exhausted(Tokens::new(HELD))));
+    assert_eq!(pair.held(), HELD);
+}
+
+#[tokio::test]
+async fn ask_silent_home_leaves_the_asker_to_itself() {
+    let pair = Pair::start().await;
+    let (_socket, silent) = socket().await;
+    let peer = Peer::new("vm-1", silent, pair.home.incarnation);
+    pair.asker.peers.lock().set(vec![peer], true);
+    let turn = pair.reserve(6_000, |turn| turn == Turn::Own).await;
+    assert_eq!(turn, Err(Turn::Own));
+}
+
+#[tokio::test]
+async fn ask_repeated_question_gets_the_same_answer() {
+    let pair = Pair::start().await;
+    let ask = json!({ "ask": {
+        "number": 7, "team": pair.team, "needed": 900, "wanted": 900,
+    }});
+    let first = pair.say(&ask).await.expect("an answer");
+    assert_eq!(first["gift"]["tokens"], 900);
+    assert_eq!(pair.say(&ask).await, Some(first));
+    assert_eq!(pair.held(), HELD - 900);
+}
+
+/// A request takes less than it reserved; what is left goes back to the home.
+#[tokio::test]
+async fn return_surplus_reaches_the_home_once() {
+    let pair = Pair::start().await;
+    assert_eq!(pair.reserve(6_000, |_| false).await, Ok(()));
+    pair.settle(6_000, 1_500);
+    let returned = async {
+        while pair.held() != HELD - 1_500 {
+            sleep(handover::PAUSE).await;
+        }
+    };
+    timeout(PATIENCE, returned).await.expect("tokens come back");
+    sleep(handover::PAUSE * 10).await;
+    assert_eq!(pair.held(), HELD - 1_500);
+}
+
+#[tokio::test]
+async fn return_repeated_message_counts_once() {
+    let pair = Pair::start().await;
+    let message = json!({ "return": {
+        "number": 9, "team": pair.team, "tokens": 50, "to": pair.home.incarnation,
+    }});
+    for _ in 0..3 {
+        let answer = pair.say(&message).await.expect("an answer");
+        assert_eq!(answer["taken"]["number"], 9);
+    }
+    assert_eq!(pair.held(), HELD + 50);
+}
+
+/// The process before this one may have taken the tokens and handed them over again.
+#[tokio::test]
+async fn return_to_a_former_process_is_not_taken() {
+    let pair = Pair::start().await;
+    let message = json!({ "return": {
+        "number": 9, "team": pair.team, "tokens": 50, "to": pair.asker.incarnation,
+    }});
+    assert_eq!(pair.say(&message).await, None);
+    assert_eq!(pair.held(), HELD);
+}
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,7 +1,8 @@
-//! The integration suite of the gateway, a file a feature. Nothing here needs a network.
+//! The integration suite of the gateway, a file a feature. Only `handover` uses loopback.
 
 mod budget;
 mod catalog;
+mod handover;
 mod site;
 mod sse;
 mod upstreams;
--- a/crates/gateway/tests/suite/site.rs
+++ b/crates/gateway/tests/suite/site.rs
@@ -80,6 +80,7 @@
         "store": "127.0.0.1:5",
         "grace_s": 8,
         "relist_ms": 2000,
+        "link_mbps": 1000,
         "retries": { "window_s": 10, "ratio": 0.2, "extra": 56 },
         "log": "info",
     });
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
+pub mod share;
 pub mod sizing;
 pub mod window;
 pub mod witness;
--- a/crates/policy/tests/suite/main.rs
+++ b/crates/policy/tests/suite/main.rs
@@ -8,5 +8,6 @@
 mod placement;
 mod quarantine;
 mod queue;
+mod share;
 mod window;
 mod witness;
