budget: close a dead process's license as of the next one's start; licenses accrue at 1.6 times the rate

In an outage a license allowed all that was held within 9 s. Change: the former process was dead when the next one started, so its license is closed as of then, however late the store answers. In an outage a license accrues at 1.6 times the team's rate, or all that is held in 30 s.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -167,7 +167,10 @@
         }
         let mut changed = IndexMap::new();
         if view.closing {
-            changed = close_former(&mut view, gateway.table.clock().unwrap_or_default());
+            // The former process was dead when this one started, however late the store is read.
+            let clock = gateway.table.clock().unwrap_or_default();
+            let started = clock.saturating_sub(gateway.now());
+            changed = close_former(&mut view, started);
             view.holder.incarnation = gateway.incarnation;
         }
         reconcile(&gateway, &view, &prepaid);
@@ -289,9 +292,10 @@
 
 /// Gives back what the process before this one can't have spent; returns the changed accounts.
 ///
-/// A VM runs one process of the role at a time, so the former one is dead.
-fn close_former(view: &mut View, clock: Duration) -> IndexMap<TeamId, ()> {
-    let elapsed = clock.saturating_sub(view.holder.since);
+/// A VM runs one process of the role at a time, so the former one was dead when this one `started`,
+/// by the store's clock.
+fn close_former(view: &mut View, started: Duration) -> IndexMap<TeamId, ()> {
+    let elapsed = started.saturating_sub(view.holder.since);
     let mut changed = IndexMap::new();
     for (team, license) in std::mem::take(&mut view.holder.licenses) {
         let unspent = license.granted.saturating_sub(license.bound(elapsed));
--- a/crates/gateway/tests/suite/budget.rs
+++ b/crates/gateway/tests/suite/budget.rs
@@ -140,6 +140,35 @@
     assert_eq!(next.reserve(60_000), Reserved::Exhausted);
 }
 
+/// The store is away when the next process starts. The dead one spent nothing meanwhile.
+#[tokio::test(start_paused = true)]
+async fn round_next_process_recovers_the_same_after_an_outage() {
+    let store = Store::open(1);
+    let mut router = Router::start("vm-1", &store);
+    assert_eq!(router.reserve(500_000), Reserved::Short);
+    assert!(router.round().await);
+    assert_eq!(router.reserve(500_000), Reserved::Done);
+    router.settle(0, 0.1);
+    for _ in 0..40 {
+        advance(Duration::from_millis(300)).await;
+        assert!(router.round().await);
+    }
+    drop(router);
+    store.memory.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    let mut next = Router::start("vm-1", &store);
+    for _ in 0..60 {
+        advance(Duration::from_secs(1)).await;
+        assert!(!next.round().await);
+    }
+    store.memory.set_faults(Faults::default());
+    assert_eq!(next.reserve(900_000), Reserved::Short);
+    assert!(next.round().await);
+    assert_eq!(next.reserve(900_000), Reserved::Done);
+}
+
 #[tokio::test(start_paused = true)]
 async fn round_quota_cut_below_use_stops_spending() {
     let store = Store::open(1);
--- a/crates/policy/src/escrow/balance.rs
+++ b/crates/policy/src/escrow/balance.rs
@@ -48,10 +48,10 @@
 const HEADROOM: Duration = Duration::from_millis(250);
 
 /// How much faster than at the present rate a license lets a router spend once its rate counts.
-const LICENSED_RATE: f64 = 1.3;
+const LICENSED_RATE: f64 = 1.6;
 
 /// The time in which all that is held can be spent once the rate counts.
-const RELEASE: Duration = Duration::from_secs(9);
+const RELEASE: Duration = Duration::from_secs(30);
 
 /// How fast the known rate follows a higher one, a second.
 const RISE: f64 = 1.2;
