handover: split asking into steps; metrics of moved tokens and of the link

Cause: one function of 60 lines decided whom to ask, sent, and noted silence; the new mechanisms had no metrics. Change: a team's next step is a value that the caller carries out; a return is made in its own function. Counters of tokens given, received, returned, taken back and lost; a gauge of the link in use. Decisions are as before.

--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -243,6 +243,7 @@
     if tokens.is_zero() {
         gateway.need.notify_one();
     } else {
+        gateway.metrics.count_moved("given", tokens);
         gateway.handover.lock().given.insert(number, gift.clone());
     }
     gift
@@ -262,6 +263,7 @@
         let balance = escrow.balance(&returned.team);
         balance.receive(returned.tokens);
         balance.forget_demand(returned.tokens);
+        gateway.metrics.count_moved("taken_back", returned.tokens);
         tracing::info!(
             team,
             number,
--- a/crates/gateway/src/handover/asks.rs
+++ b/crates/gateway/src/handover/asks.rs
@@ -46,6 +46,15 @@
     teams: HashMap<TeamId, Asked>,
 }
 
+impl Asks {
+    fn note_open(&mut self, number: u64) {
+        if self.open.len() >= MOST_OPEN {
+            self.open.retain(|_, at| at.elapsed() < ANSWERED);
+        }
+        self.open.entry(number).or_insert_with(Instant::now);
+    }
+}
+
 /// What was asked about one team.
 #[derive(Debug, Default)]
 struct Asked {
@@ -68,36 +77,72 @@
     left: Option<Tokens>,
 }
 
+/// What comes next for a team.
+enum Step {
+    /// A question is sent, or sent again.
+    Send(Question),
+    /// An answer, or time, is waited for.
+    Wait,
+    /// No home has enough; together they have this.
+    GiveUp(Tokens),
+    /// A home didn't answer.
+    Silent(SocketAddr),
+}
+
 impl Asked {
     fn denial(&self, home: SocketAddr) -> Option<&Denial> {
         let mut denials = self.denials.iter();
         denials.find(|denial| denial.home == home && denial.at.elapsed() < DENIED)
     }
 
+    /// Decides what comes next, given the homes that answer.
+    fn step(&mut self, homes: &[SocketAddr], needed: Tokens) -> Step {
+        let Some(question) = self.current else {
+            return self.choose(homes, needed);
+        };
+        if question.sent.elapsed() < PAUSE {
+            return Step::Wait;
+        }
+        if question.sends >= SENDS || !homes.contains(&question.home) {
+            self.current = None;
+            return Step::Silent(question.home);
+        }
+        Step::Send(Question {
+            sent: Instant::now(),
+            sends: question.sends + 1,
+            ..question
+        })
+    }
+
     /// Chooses whom to ask among the homes that answer.
-    fn choose(&self, homes: &[SocketAddr], needed: Tokens) -> Choice {
+    fn choose(&self, homes: &[SocketAddr], needed: Tokens) -> Step {
         let fresh = homes.iter().find(|home| self.denial(**home).is_none());
         if let Some(home) = fresh {
-            return Choice::Ask(*home);
+            return Step::Send(Question::open(*home));
         }
         let denials: Vec<_> = homes.iter().filter_map(|home| self.denial(*home)).collect();
         let Some(first) = denials.first() else {
-            return Choice::Wait;
+            return Step::Wait;
         };
         let all = denials.iter().filter_map(|denial| denial.left);
         let all = all.fold(Tokens::ZERO, Tokens::saturating_add);
         match first.left {
-            Some(_) if all < needed => Choice::GiveUp(all),
-            _ if first.at.elapsed() >= PAUSE => Choice::Ask(first.home),
-            _ => Choice::Wait,
+            Some(_) if all < needed => Step::GiveUp(all),
+            _ if first.at.elapsed() >= PAUSE => Step::Send(Question::open(first.home)),
+            _ => Step::Wait,
         }
     }
 }
 
-enum Choice {
-    Ask(SocketAddr),
-    Wait,
-    GiveUp(Tokens),
+impl Question {
+    fn open(home: SocketAddr) -> Self {
+        Self {
+            number: rand::random(),
+            home,
+            sent: Instant::now(),
+            sends: 1,
+        }
+    }
 }
 
 /// Asks for what a request of `tokens` lacks.
@@ -121,59 +166,40 @@
     }
 }
 
+/// Goes one step further in asking for a team's tokens.
 fn turn(gateway: &Gateway, team: &TeamId, needed: Tokens, wanted: Tokens) -> Turn {
     let mut homes = gateway.peers.lock().homes(team);
     let mut handover = gateway.handover.lock();
     loop {
+        if homes.first().is_none_or(|home| *home == Home::Own) {
+            return Turn::Own;
+        }
         let peers = homes.iter().filter_map(|home| match home {
             Home::Peer(address) => Some(*address),
             Home::Own => None,
         });
         let peers: Vec<_> = peers.collect();
-        if peers.is_empty() || homes.first() == Some(&Home::Own) {
-            return Turn::Own;
-        }
         let asked = handover.asks.teams.entry(team.clone()).or_default();
-        let question = match asked.current {
-            Some(question) if question.sent.elapsed() < PAUSE => return Turn::Asked,
-            Some(question) if question.sends >= SENDS || !peers.contains(&question.home) => {
-                asked.current = None;
-                gateway.peers.lock().note_silent(question.home);
-                homes.retain(|home| *home != Home::Peer(question.home));
-                continue;
+        match asked.step(&peers, needed) {
+            Step::Wait => return Turn::Asked,
+            Step::GiveUp(left) => return Turn::Exhausted(left),
+            Step::Silent(home) => {
+                gateway.peers.lock().note_silent(home);
+                homes.retain(|other| *other != Home::Peer(home));
+            }
+            Step::Send(question) => {
+                asked.current = Some(question);
+                handover.asks.note_open(question.number);
+                let ask = Ask {
+                    number: question.number,
+                    team: team.clone(),
+                    needed,
+                    wanted,
+                };
+                handover.send(question.home, Message::Ask(ask));
+                return Turn::Asked;
             }
-            Some(question) => Question {
-                sent: Instant::now(),
-                sends: question.sends + 1,
-                ..question
-            },
-            None => match asked.choose(&peers, needed) {
-                Choice::Wait => return Turn::Asked,
-                Choice::GiveUp(left) => return Turn::Exhausted(left),
-                Choice::Ask(home) => Question {
-                    number: rand::random(),
-                    home,
-                    sent: Instant::now(),
-                    sends: 1,
-                },
-            },
-        };
-        asked.current = Some(question);
-        let Question { number, home, .. } = question;
-        let open = &mut handover.asks.open;
-        if open.len() >= MOST_OPEN {
-            open.retain(|_, at| at.elapsed() < ANSWERED);
         }
-        open.entry(number).or_insert_with(Instant::now);
-        let team = team.clone();
-        let ask = Ask {
-            number,
-            team,
-            needed,
-            wanted,
-        };
-        handover.send(home, Message::Ask(ask));
-        return Turn::Asked;
     }
 }
 
@@ -184,6 +210,7 @@
     let asked = handover.asks.open.remove(&number);
     if asked.is_none_or(|at| at.elapsed() >= ANSWERED) {
         let tokens = gift.tokens.get();
+        gateway.metrics.count_moved("lost", gift.tokens);
         tracing::info!(team, number, tokens, "an answer came too late or twice");
         return;
     }
@@ -211,6 +238,7 @@
         let mut escrow = gateway.escrow.lock();
         escrow.balance(&gift.team).receive(gift.tokens);
         drop(escrow);
+        gateway.metrics.count_moved("received", gift.tokens);
         tracing::info!(team, number, tokens = gift.tokens.get(), "tokens received");
     }
     gateway.gifts.send_modify(|gifts| *gifts += 1);
--- a/crates/gateway/src/handover/returns.rs
+++ b/crates/gateway/src/handover/returns.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fescue_core::TeamId;
+use fescue_core::{Incarnation, TeamId};
 use tokio::time::{Instant, sleep};
 
 use super::{Message, PAUSE, Return};
@@ -44,45 +44,51 @@
     }
 }
 
-/// Returns what isn't needed, and repeats what has no answer.
+/// Returns what isn't needed, and repeats what has no answer; all goes where nothing is to be kept.
 pub(super) fn run_round(gateway: &Gateway, keep: bool) {
-    let clock = gateway.table.clock().unwrap_or_default();
     let teams: Vec<TeamId> = {
         let mut escrow = gateway.escrow.lock();
         let handed = escrow.iter_mut().filter(|(_, b)| b.has_handed());
         handed.map(|(team, _)| team.clone()).collect()
     };
     for team in teams {
-        let Some((home, to)) = home(gateway, &team) else {
-            continue;
-        };
-        let tokens = {
-            let mut escrow = gateway.escrow.lock();
-            escrow.balance(&team).take_surplus(keep, clock)
-        };
-        if tokens.is_zero() {
-            continue;
-        }
-        let number = rand::random();
-        let message = Return {
-            number,
-            team,
-            tokens,
-            to,
-        };
-        let open = Open {
-            home,
-            message,
-            sent: Instant::now(),
-            sends: 0,
-        };
-        gateway.handover.lock().returns.open.insert(number, open);
+        return_surplus(gateway, team, keep);
     }
     send_open(gateway);
 }
 
+/// Takes out what a team doesn't need here, to be sent to its home.
+fn return_surplus(gateway: &Gateway, team: TeamId, keep: bool) {
+    let Some((home, to)) = home(gateway, &team) else {
+        return;
+    };
+    let clock = gateway.table.clock().unwrap_or_default();
+    let tokens = {
+        let mut escrow = gateway.escrow.lock();
+        escrow.balance(&team).take_surplus(keep, clock)
+    };
+    if tokens.is_zero() {
+        return;
+    }
+    gateway.metrics.count_moved("returned", tokens);
+    let number = rand::random();
+    let message = Return {
+        number,
+        team,
+        tokens,
+        to,
+    };
+    let open = Open {
+        home,
+        message,
+        sent: Instant::now(),
+        sends: 0,
+    };
+    gateway.handover.lock().returns.open.insert(number, open);
+}
+
 /// Returns where a team's tokens can be returned to now.
-fn home(gateway: &Gateway, team: &TeamId) -> Option<(SocketAddr, fescue_core::Incarnation)> {
+fn home(gateway: &Gateway, team: &TeamId) -> Option<(SocketAddr, Incarnation)> {
     if gateway.handover.lock().returns.open.len() >= MOST_OPEN {
         return None;
     }
@@ -104,6 +110,7 @@
         if given_up {
             let Return { number, tokens, .. } = open.message;
             let team = open.message.team.as_str();
+            gateway.metrics.count_moved("lost", tokens);
             let (tokens, home) = (tokens.get(), open.home);
             tracing::warn!(team, number, tokens, %home, "returned tokens are lost: no answer");
         } else {
--- a/crates/gateway/src/link_use.rs
+++ b/crates/gateway/src/link_use.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Counts a read or a write of bytes that came from or went to a caller; they pass the link once more, to or from an
-    /// upstream.
+    /// Counts a read or a write of bytes that came from or went to a caller; they pass the link once
+    /// more, to or from an upstream.
     pub fn count(&self, bytes: usize) {
         self.bytes
             .fetch_add(bytes as u64 + PACKET_BYTES, Ordering::Relaxed);
@@ -59,12 +59,14 @@
         self.share.lock().sheds(rand::random())
     }
 
-    fn sample(&self, elapsed: Duration) {
+    /// Takes over what was counted since the last sample; returns the part of the link in use.
+    fn sample(&self, elapsed: Duration) -> f64 {
         let bytes = self.bytes.swap(0, Ordering::Relaxed);
         let mut share = self.share.lock();
         if let Some(busy) = share.observe(bytes, elapsed) {
             tracing::info!(busy, part = share.part(), "use of the link changed");
         }
+        share.part()
     }
 }
 
@@ -75,7 +77,8 @@
     let mut last = Instant::now();
     loop {
         samples.tick().await;
-        gateway.link.sample(last.elapsed());
+        let part = gateway.link.sample(last.elapsed());
+        gateway.metrics.link_percent.set((part * 100.0) as i64);
         last = Instant::now();
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! What operators measure of a gateway, in the text format of Prometheus.
 
+use fescue_core::Tokens;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -33,6 +34,13 @@
     pub outcome: &'static str,
 }
 
+/// Names what happened to tokens between routers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Moved {
+    /// Given to another router, received, returned to a home, taken back by it, or lost on the way.
+    pub event: &'static str,
+}
+
 /// The metrics of one gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -47,6 +55,10 @@
     pub first_byte: Histogram,
     /// Tokens consumed.
     pub tokens: Counter,
+    /// Tokens that moved between routers.
+    pub moved: Family<Moved, Counter>,
+    /// How much of the VM's link is used, in percent.
+    pub link_percent: Gauge,
     /// Requests that are open.
     pub running: Gauge,
     /// Log lines dropped because the output was slow.
@@ -66,6 +78,8 @@
             store: Family::default(),
             first_byte: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
             tokens: Counter::default(),
+            moved: Family::default(),
+            link_percent: Gauge::default(),
             running: Gauge::default(),
             log_dropped: Gauge::default(),
             manifest_version: Gauge::default(),
@@ -87,6 +101,10 @@
         let help = "Seconds from arrival to the first event or the answer.";
         r.register("first_byte_seconds", help, self.first_byte.clone());
         r.register("tokens", "Tokens consumed.", self.tokens.clone());
+        let help = "Tokens that moved between routers, by what happened to them.";
+        r.register("tokens_moved", help, self.moved.clone());
+        let help = "Percent of the VM's link in use.";
+        r.register("link_percent", help, self.link_percent.clone());
         r.register("running", "Requests that are open.", self.running.clone());
         let help = "Log lines dropped since the start.";
         r.register("log_dropped", help, self.log_dropped.clone());
@@ -108,6 +126,12 @@
         self.attempts.get_or_create(&Attempt { outcome }).inc();
     }
 
+    /// Counts tokens that moved between routers.
+    pub fn count_moved(&self, event: &'static str, tokens: Tokens) {
+        let moved = self.moved.get_or_create(&Moved { event });
+        moved.inc_by(tokens.get());
+    }
+
     /// Counts a call of the store.
     pub fn count_store(&self, call: &'static str, good: bool) {
         let outcome = if good { "ok" } else { "failed" };
--- a/crates/gateway/tests/suite/handover.rs
+++ b/crates/gateway/tests/suite/handover.rs
@@ -130,6 +130,12 @@
     assert_eq!(pair.asker.peers.lock().role(&pair.team), Role::Backup);
     assert_eq!(pair.reserve(6_000, |_| false).await, Ok(()));
     assert_eq!(pair.held(), HELD - 6_000);
+    let moved = |router: &Gateway, event| {
+        let line = format!("fescue_gateway_tokens_moved_total{{event=\"{event}\"}} 6000");
+        router.metrics.to_text().contains(&line)
+    };
+    assert!(moved(&pair.home, "given"));
+    assert!(moved(&pair.asker, "received"));
 }
 
 #[tokio::test]
