gateway: read the settings again at SIGHUP and when the file has changed

Change: grace_s, relist_ms, link_mbps and retries take effect at once; other fields that differ are named in the log and wait for the next start. A file that can't be used is logged with line and column, and changes nothing.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -84,7 +84,7 @@
             }
         }
         if list && self.topic == Topic::Upstreams {
-            let grace = self.gateway.settings.relist;
+            let grace = self.gateway.tuning().relist;
             self.gateway.servers.lock().mark_missing(&listed, grace);
         }
         self.version = Some(batch.version);
@@ -127,7 +127,7 @@
                 tracing::info!(upstream = id.as_str(), lapsed, "upstream no longer listed");
                 let mut servers = self.gateway.servers.lock();
                 if lapsed {
-                    servers.mark_removed(&id, self.gateway.settings.relist);
+                    servers.mark_removed(&id, self.gateway.tuning().relist);
                 } else {
                     servers.remove(&id);
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,7 +26,7 @@
 use crate::link_use::LinkUse;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::settings::Settings;
+use crate::settings::{Settings, Tuning};
 use crate::upstreams::Servers;
 
 /// For how long a router with a full link may not have heard of the upstreams; well under the time
@@ -35,8 +35,9 @@
 
 /// The shared tables of one gateway.
 pub struct Gateway {
-    /// Its settings.
+    /// Its settings as they were at the start.
     pub settings: Settings,
+    tuning: Mutex<Tuning>,
     /// This start of the process.
     pub incarnation: Incarnation,
     /// How callers and upstreams write heads.
@@ -88,8 +89,10 @@
     pub fn open(settings: Settings, dialect: Box<dyn Dialect>, table: Arc<dyn Table>) -> Arc<Self> {
         let peers = Mutex::new(Peers::open(&settings.vm));
         let link = LinkUse::open(settings.link_mbps);
+        let tuning = Mutex::new(settings.tuning());
         Arc::new(Self {
             settings,
+            tuning,
             incarnation: Incarnation::new(rand::random()),
             dialect,
             table,
@@ -123,6 +126,17 @@
         self.start.elapsed()
     }
 
+    /// Returns the settings that may change.
+    pub fn tuning(&self) -> Tuning {
+        *self.tuning.lock()
+    }
+
+    /// Takes over changed settings.
+    pub fn put_tuning(&self, tuning: Tuning) {
+        *self.tuning.lock() = tuning;
+        self.link.resize(tuning.link_mbps);
+    }
+
     /// Returns the configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.lock().clone()
@@ -165,7 +179,7 @@
 
     /// Counts a request for a service, which earns retries.
     pub fn count_request(&self, service: &ServiceId) {
-        let budget = Budget::from(self.settings.retries);
+        let budget = Budget::from(self.tuning().retries);
         let mut retries = self.retries.lock();
         let window = retries.entry(service.clone()).or_default();
         window.count_request(self.now(), &budget);
@@ -173,7 +187,7 @@
 
     /// Takes a retry out of the fleet's budget; returns whether there was one.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
-        let budget = Budget::from(self.settings.retries);
+        let budget = Budget::from(self.tuning().retries);
         let mut retries = self.retries.lock();
         let window = retries.entry(service.clone()).or_default();
         window.take(self.now(), &budget, self.routers())
@@ -222,9 +236,9 @@
         *self.heard.lock() = Instant::now();
     }
 
-    /// Returns whether this router, alone among all, may not know of upstreams that leave: its own
-    /// link is full and the store's answers don't get through. While the store is away for all
-    /// routers, they use what they know.
+    /// Returns whether this router may be the only one that doesn't know which upstreams leave: its
+    /// own link is full, so the store's answers may not get through. An outage of the store looks
+    /// the same here; routers with room on their links use what they know until it ends.
     pub fn is_cut_off(&self) -> bool {
         self.link.is_full() && self.heard.lock().elapsed() > UNHEARD
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod pipeline;
 pub mod plain;
 pub mod probe;
+pub mod reload;
 pub mod reply;
 pub mod run;
 pub mod settings;
--- a/crates/gateway/src/link_use.rs
+++ b/crates/gateway/src/link_use.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Takes over a changed link.
+    pub fn resize(&self, link_mbps: f64) {
+        self.share.lock().resize(link_mbps * BYTES_PER_MEGABIT);
+    }
+
     /// Counts a read or a write of bytes that came from or went to a caller; they pass the link once
     /// more, to or from an upstream.
     pub fn count(&self, bytes: usize) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::gateway::Gateway;
 use crate::lifecycle::Event;
 use crate::logs::Logs;
+use crate::reload::Reload;
 use crate::settings::Settings;
 use crate::{budget, feeds, fleet, handover, ingress, link_use, probe};
 
@@ -48,7 +49,12 @@
 /// # Errors
 ///
 /// When an address can't be bound or a signal can't be waited for.
-pub async fn run(settings: Settings, platform: Platform, logs: Logs) -> miette::Result<()> {
+pub async fn run(
+    settings: Settings,
+    reload: Reload,
+    platform: Platform,
+    logs: Logs,
+) -> miette::Result<()> {
     let logs = Arc::new(logs);
     let listen = settings.listen.clone();
     let callers = bind(listen.callers)?;
@@ -59,7 +65,6 @@
     let peers = Arc::new(peers.wrap_err_with(context)?);
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
-    let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
     let Platform {
         registry,
         table,
@@ -90,12 +95,10 @@
     tokio::spawn(probe::serve_ready(Arc::clone(&gateway), ready));
     tokio::spawn(probe::serve_metrics(Arc::clone(&gateway), logs, metrics));
     tokio::spawn(ingress::run(Arc::clone(&gateway), callers, draining));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => tracing::info!("told to reload; settings are read at the start"),
-        }
+    tokio::spawn(reload.run(Arc::clone(&gateway)));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
     stop(&gateway, &drain).await;
     handover::return_all(&gateway).await;
@@ -120,7 +123,7 @@
 
 /// Ends what is open within the grace period, less the time that giving back takes.
 async fn stop(gateway: &Gateway, drain: &watch::Sender<bool>) {
-    let grace = gateway.settings.grace;
+    let grace = gateway.tuning().grace;
     let end = Instant::now() + grace.saturating_sub(LAST_MOMENT + GIVE_BACK);
     gateway.end_at(end);
     gateway.handle(Event::Stop);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,6 +42,19 @@
     pub log: String,
 }
 
+/// The settings that may change while the process runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// See [`Settings::grace`].
+    pub grace: Duration,
+    /// See [`Settings::relist`].
+    pub relist: Duration,
+    /// See [`Settings::link_mbps`].
+    pub link_mbps: f64,
+    /// See [`Settings::retries`].
+    pub retries: Retries,
+}
+
 /// The addresses of one gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -103,6 +116,29 @@
         })
     }
 
+    /// Returns what may change while the process runs.
+    pub fn tuning(&self) -> Tuning {
+        Tuning {
+            grace: self.grace,
+            relist: self.relist,
+            link_mbps: self.link_mbps,
+            retries: self.retries,
+        }
+    }
+
+    /// Names the fields that differ and take effect at the next start only.
+    pub fn needs_restart(&self, other: &Self) -> Vec<&'static str> {
+        let fields = [
+            ("vm", self.vm != other.vm),
+            ("data_centre", self.data_centre != other.data_centre),
+            ("listen", self.listen != other.listen),
+            ("store", self.store != other.store),
+            ("log", self.log != other.log),
+        ];
+        let differ = fields.into_iter().filter(|(_, differs)| *differs);
+        differ.map(|(name, _)| name).collect()
+    }
+
     /// Refuses what no gateway can run with.
     fn check(self) -> Result<Self, serde_json::Error> {
         let Self {
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod catalog;
 mod handover;
+mod reload;
 mod site;
 mod sse;
 mod upstreams;
--- a/crates/gateway/tests/suite/site.rs
+++ b/crates/gateway/tests/suite/site.rs
@@ -67,8 +67,9 @@
     }
 }
 
-pub fn settings(vm: &str) -> Settings {
-    let text = serde_json::json!({
+/// The text of a gateway's settings.
+pub fn settings_text(vm: &str) -> serde_json::Value {
+    serde_json::json!({
         "vm": vm,
         "data_centre": "here",
         "listen": {
@@ -83,13 +84,16 @@
         "link_mbps": 1000,
         "retries": { "window_s": 10, "ratio": 0.2, "extra": 56 },
         "log": "info",
-    });
+    })
+}
+
+pub fn parse(text: &serde_json::Value) -> Settings {
     Settings::parse("settings", &text.to_string()).expect("settings")
 }
 
 pub fn gateway(vm: &str, store: &Arc<Store>) -> Arc<Gateway> {
     let table: Arc<dyn Table> = store.clone();
-    Gateway::open(settings(vm), Box::new(Plain), table)
+    Gateway::open(parse(&settings_text(vm)), Box::new(Plain), table)
 }
 
 pub fn route(name: &str, host: &str, prefix: &str, split: &[(&str, u32)]) -> Route {
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Takes over a changed capacity.
+    pub fn resize(&mut self, capacity: f64) {
+        self.capacity = capacity;
+    }
+
     /// Follows the use of the link, as measured over some time; returns whether the router has
     /// become busy, or no longer is.
     pub fn observe(&mut self, bytes: u64, elapsed: Duration) -> Option<bool> {
--- a/crates/router/src/cmd/gateway.rs
+++ b/crates/router/src/cmd/gateway.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use fescue_gateway::reload::Reload;
 use fescue_gateway::settings::Settings;
 use fescue_gateway::{logs, run as gateway};
 use miette::IntoDiagnostic;
@@ -49,6 +50,9 @@
         .build()
         .into_diagnostic()?;
     let platform = fescue_platform::open(settings.store);
-    runtime.block_on(gateway::run(settings, platform, logs))?;
+    runtime.block_on(async {
+        let reload = Reload::open(path)?;
+        gateway::run(settings, reload, platform, logs).await
+    })?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/router/tests/suite/gateway.rs
+++ b/crates/router/tests/suite/gateway.rs
@@ -389,3 +389,21 @@
     load.abort();
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
 }
+
+/// A signal to read the settings again neither ends the process nor cuts a stream.
+#[tokio::test]
+async fn gateway_reads_its_settings_at_a_signal() {
+    let site = Site::open("reload", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    let callers = gateway.ports.callers;
+    let ask = site.ask(Kind::Chat, "c-reload");
+    let stream = tokio::spawn(async move { send(callers, &ask).await });
+    for _ in 0..3 {
+        gateway.signal(Signal::HUP);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let seen = stream.await.expect("a stream");
+    assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+    assert!(!gateway.lines("message", "settings read").is_empty());
+    assert_eq!(gateway.exit_status(), None);
+}
