--- a/crates/gateway/tests/suite/budget.rs
+++ b/crates/gateway/tests/suite/budget.rs
@@ -169,6 +169,43 @@
     assert_eq!(next.reserve(900_000), Reserved::Done);
 }
 
+/// A process that is cut off from the store spends all that its license allows, and dies. What the
+/// next one gets never makes the sum larger than what was prepaid.
+#[tokio::test(start_paused = true)]
+async fn round_next_process_counts_what_an_outage_allowed() {
+    for outage in [2, 4, 8, 16] {
+        let store = Store::open(1);
+        let mut router = Router::start("vm-1", &store);
+        for _ in 0..10 {
+            router.reserve(20_000);
+            advance(Duration::from_millis(300)).await;
+            assert!(router.round().await);
+        }
+        let away = Faults {
+            outage: true,
+            ..Faults::default()
+        };
+        store.memory.set_faults(away);
+        advance(Duration::from_secs(outage)).await;
+        while router.reserve(1_000) == Reserved::Done {}
+        let spent: u64 = router.open.iter().map(|tokens| tokens.get()).sum();
+        store.memory.set_faults(Faults::default());
+        drop(router);
+        let mut next = Router::start("vm-1", &store);
+        assert!(next.round().await);
+        for _ in 0..PREPAID / 1_000 {
+            if next.reserve(1_000) != Reserved::Done {
+                assert!(next.round().await);
+            }
+        }
+        let again: u64 = next.open.iter().map(|tokens| tokens.get()).sum();
+        assert!(
+            spent + again <= PREPAID,
+            "{outage} s: {spent} + {again} of {PREPAID}"
+        );
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn round_quota_cut_below_use_stops_spending() {
     let store = Store::open(1);
--- a/crates/gateway/tests/suite/handover.rs
+++ b/crates/gateway/tests/suite/handover.rs
@@ -209,3 +209,43 @@
     assert_eq!(pair.say(&message).await, None);
     assert_eq!(pair.held(), HELD);
 }
+
+/// A datagram may come twice; the tokens in it count once.
+#[tokio::test]
+async fn ask_answer_that_comes_twice_counts_once() {
+    let pair = Pair::start().await;
+    let (home, address) = socket().await;
+    let peer = Peer::new("vm-1", address, pair.home.incarnation);
+    pair.asker.peers.lock().set(vec![peer], true);
+    let needed = Tokens::new(6_000);
+    let mut buffer = [0; 512];
+    let asked = async {
+        loop {
+            // The asker's task may not have started yet, so the question is sent again.
+            handover::ask(&pair.asker, &pair.team, needed);
+            let received = timeout(handover::PAUSE, home.recv_from(&mut buffer)).await;
+            if let Ok(Ok(received)) = received {
+                return received;
+            }
+        }
+    };
+    let (length, from) = timeout(PATIENCE, asked).await.expect("a question");
+    let question: Value = serde_json::from_slice(&buffer[..length]).expect("a message");
+    let gift = json!({ "gift": {
+        "number": question["ask"]["number"], "team": pair.team, "tokens": 6_000,
+        "left": null, "from": pair.home.incarnation,
+    }});
+    let mut gifts = pair.asker.gifts.subscribe();
+    for _ in 0..2 {
+        let sent = home.send_to(gift.to_string().as_bytes(), from).await;
+        sent.expect("sent");
+    }
+    timeout(PATIENCE, gifts.changed())
+        .await
+        .expect("an answer")
+        .expect("a gateway");
+    sleep(handover::PAUSE).await;
+    let mut escrow = pair.asker.escrow.lock();
+    let available = escrow.balance(&pair.team).available(Duration::ZERO);
+    assert_eq!(available, needed);
+}
--- a/crates/router/tests/suite/gateway.rs
+++ b/crates/router/tests/suite/gateway.rs
@@ -407,3 +407,45 @@
     assert!(!gateway.lines("message", "settings read").is_empty());
     assert_eq!(gateway.exit_status(), None);
 }
+
+/// A router whose own link is full and that hears nothing of the upstreams takes no request, since
+/// an upstream may be leaving; once it hears of them, it serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_takes_nothing_while_its_full_link_cuts_it_off() {
+    let site = Site::open("cut-off", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    let path = site.folder.join("vm-1.json");
+    let text = std::fs::read_to_string(&path).expect("settings");
+    let mut settings: serde_json::Value = serde_json::from_str(&text).expect("settings");
+    settings["link_mbps"] = 0.001.into();
+    std::fs::write(&path, settings.to_string()).expect("written");
+    gateway.signal(Signal::HUP);
+    // With the store in reach a full link alone refuses nothing.
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Read, "full")).await;
+    assert!(matches!(seen, Seen::Served { .. }), "{seen:?}");
+    site.store.store.set_faults(store::Faults {
+        busy: true,
+        ..store::Faults::default()
+    });
+    let until = |wanted: Option<u16>| {
+        let (site, gateway) = (&site, &gateway);
+        async move {
+            for number in 0..400 {
+                let ask = site.ask(Kind::Read, &format!("{wanted:?}-{number}"));
+                let seen = send(gateway.ports.callers, &ask).await;
+                let served = matches!(seen, Seen::Served { .. });
+                if status(&seen) == wanted && (served || wanted.is_some()) {
+                    return true;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            false
+        }
+    };
+    assert!(until(Some(429)).await, "it refuses once it is cut off");
+    site.store.store.set_faults(store::Faults::default());
+    assert!(
+        until(None).await,
+        "it serves once it hears of the upstreams"
+    );
+}
