--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! The money side is [`account`] (rows in the table), [`ledger`] (what one router holds),
 //! [`witness`] (what peers noted) and [`bills`] (each request once). The service side is
-//! [`queue`], [`limit`], [`placement`], [`retry`] and [`quarantine`].
+//! [`queue`], [`limit`], [`placement`], [`retry`] and [`quarantine`]. For the gateway, [`escrow`] and
+//! [`homes`] are the money side, [`affinity`], [`window`] and [`share`] the service side.
 
 pub mod account;
 pub mod affinity;
