gateway: remove two functions without callers; one copy of a test's story

Cause: the last reading: Peers::len and Peers::is_empty had no callers, two budget tests told the same story twice. Change: the functions are gone, the story is a function of the tests; assertions as before.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -74,16 +74,6 @@
         self.silent.retain(|address, _| listed(address));
     }
 
-    /// Returns how many there are.
-    pub fn len(&self) -> usize {
-        self.list.len()
-    }
-
-    /// Returns whether there is none.
-    pub fn is_empty(&self) -> bool {
-        self.list.is_empty()
-    }
-
     /// Returns the present start of the router at an address.
     pub fn incarnation(&self, address: SocketAddr) -> Option<Incarnation> {
         let peer = self.list.iter().find(|peer| peer.address == address);
--- a/crates/gateway/tests/suite/budget.rs
+++ b/crates/gateway/tests/suite/budget.rs
@@ -112,11 +112,9 @@
     assert_eq!(other.reserve(PREPAID - 1000), Reserved::Done);
 }
 
-/// The process of a VM dies; the next one gives back what the dead one can't have spent.
-#[tokio::test(start_paused = true)]
-async fn round_next_process_recovers_what_was_not_spent() {
-    let store = Store::open(1);
-    let mut router = Router::start("vm-1", &store);
+/// A process spends a twentieth of what is prepaid, is calm for a while, and dies.
+async fn spend_and_die(store: &Arc<Store>) {
+    let mut router = Router::start("vm-1", store);
     assert_eq!(router.reserve(500_000), Reserved::Short);
     assert!(router.round().await);
     assert_eq!(router.reserve(500_000), Reserved::Done);
@@ -126,7 +124,13 @@
         advance(Duration::from_millis(300)).await;
         assert!(router.round().await);
     }
-    drop(router);
+}
+
+/// The process of a VM dies; the next one gives back what the dead one can't have spent.
+#[tokio::test(start_paused = true)]
+async fn round_next_process_recovers_what_was_not_spent() {
+    let store = Store::open(1);
+    spend_and_die(&store).await;
     advance(Duration::from_secs(1)).await;
     let mut next = Router::start("vm-1", &store);
     assert_eq!(next.reserve(900_000), Reserved::Short);
@@ -144,16 +148,7 @@
 #[tokio::test(start_paused = true)]
 async fn round_next_process_recovers_the_same_after_an_outage() {
     let store = Store::open(1);
-    let mut router = Router::start("vm-1", &store);
-    assert_eq!(router.reserve(500_000), Reserved::Short);
-    assert!(router.round().await);
-    assert_eq!(router.reserve(500_000), Reserved::Done);
-    router.settle(0, 0.1);
-    for _ in 0..40 {
-        advance(Duration::from_millis(300)).await;
-        assert!(router.round().await);
-    }
-    drop(router);
+    spend_and_die(&store).await;
     store.memory.set_faults(Faults {
         outage: true,
         ..Faults::default()
