escrow: tell at a closing what a dead process's license allowed, and why

Change: a license records what was used when it was requested (rows without it are read as before); License::close divides a dead process's tokens, and the closing line has used, initial, accrued and given_back. The refused line's explanation is in detail.

Policy and gateway tests pass.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -306,19 +306,22 @@
     let elapsed = started.saturating_sub(snapshot.holder.since);
     let mut changed = IndexMap::new();
     for (team, license) in std::mem::take(&mut snapshot.holder.licenses) {
-        let unspent = license.granted.saturating_sub(license.bound(elapsed));
+        let closing = license.close(elapsed);
         let account = snapshot.accounts.as_mut().and_then(|a| a.get_mut(&team));
         let Some((_, account)) = account else {
             continue;
         };
-        if !unspent.is_zero() {
-            account.granted = account.granted.saturating_sub(unspent);
+        if !closing.unspent.is_zero() {
+            account.granted = account.granted.saturating_sub(closing.unspent);
             changed.insert(team.clone(), ());
         }
         tracing::info!(
             team = team.as_str(),
             held = license.granted.get(),
-            given_back = unspent.get(),
+            used = closing.used.get(),
+            initial = closing.initial.get(),
+            accrued = closing.accrued.get(),
+            given_back = closing.unspent.get(),
             former = %snapshot.holder.incarnation,
             elapsed_ms = elapsed.as_millis() as u64,
             "closing the license of the previous process"
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -98,7 +98,7 @@
             execution = refusal.execution.as_str(),
             retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64),
             ms = arrival.elapsed().as_millis() as u64,
-            message = refusal.message,
+            detail = refusal.message,
             "refused"
         );
         refusal_response(&refusal)
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -42,6 +42,22 @@
         pub jump: Tokens,
         /// The further tokens per second once the rate applies.
         pub rate: Tokens,
+        /// The tokens that were spent or reserved when the license was requested.
+        #[serde(default)]
+        pub used: Tokens,
+    }
+
+    /// The tokens of a dead process's license, divided by what is known of them.
+    #[derive(Copy)]
+    pub struct Closing {
+        /// Spent or reserved when the license was requested.
+        pub used: Tokens,
+        /// Allowed at once, in addition; may have been spent.
+        pub initial: Tokens,
+        /// Allowed by the time that has passed, in addition; may have been spent.
+        pub accrued: Tokens,
+        /// Not allowed by the license, so certainly unspent.
+        pub unspent: Tokens,
     }
 }
 
@@ -78,6 +94,18 @@
     pub fn bound(&self, elapsed: Duration) -> Tokens {
         self.allows(elapsed.mul_f64(MAX_CLOCK_RATIO))
     }
+
+    /// Divides the tokens of a process that had died by `elapsed` after the rate began to apply.
+    pub fn close(&self, elapsed: Duration) -> Closing {
+        let (base, bound) = (self.allows(Duration::ZERO), self.bound(elapsed));
+        let used = self.used.min(base);
+        Closing {
+            used,
+            initial: base.saturating_sub(used),
+            accrued: bound.saturating_sub(base),
+            unspent: self.granted.saturating_sub(bound),
+        }
+    }
 }
 
 /// The time without a renewal after which a license's rate applies, beyond the renewal interval.
--- a/crates/policy/src/escrow/balance.rs
+++ b/crates/policy/src/escrow/balance.rs
@@ -342,6 +342,7 @@
             base: used.saturating_add(headroom),
             jump: rate.scale(uncovered.as_secs_f64()),
             rate,
+            used,
         }
     }
 
--- a/crates/policy/tests/suite/escrow.rs
+++ b/crates/policy/tests/suite/escrow.rs
@@ -14,6 +14,7 @@
         base: Tokens::new(base),
         jump: Tokens::ZERO,
         rate: Tokens::new(rate),
+        used: Tokens::ZERO,
     }
 }
 
@@ -45,6 +46,34 @@
     }
 }
 
+/// An operator must be able to tell what a dead process may have spent from what it had spent.
+#[test]
+fn close_divides_all_tokens_by_what_is_known() {
+    let license = License {
+        used: Tokens::new(150),
+        ..license(1000, 200, 100)
+    };
+    for seconds in [0, 3, 60] {
+        let closing = license.close(secs(seconds));
+        let known = closing.used.get() + closing.initial.get();
+        assert_eq!(closing.used.get(), 150);
+        assert_eq!(known, 200);
+        assert_eq!(known + closing.accrued.get() + closing.unspent.get(), 1000);
+        assert_eq!(
+            closing.unspent.get(),
+            1000 - license.bound(secs(seconds)).get()
+        );
+    }
+}
+
+/// Rows of routers from before the field was added have no `used`.
+#[test]
+fn license_without_used_is_read() {
+    let text = r#"{"granted":1000,"base":200,"jump":0,"rate":100}"#;
+    let read: License = serde_json::from_str(text).expect("a license");
+    assert_eq!(read, license(1000, 200, 100));
+}
+
 #[test]
 fn reserve_within_the_license_only() {
     let mut balance = Balance::default();
