gateway/feeds: log when a team's prepaid tokens change

Cause: a refusal for budget could not be checked afterwards: the prepaid amount and its top-ups stood in no log line.

Change: one line for each team whose amount differs between two versions of the configuration.

Before and after: no behaviour changes.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::UpstreamId;
+use fescue_core::{TeamId, Tokens, UpstreamId};
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
@@ -105,11 +105,13 @@
         match entry {
             Entry::Manifest(manifest) => {
                 let (version, routes) = (manifest.version, manifest.routes.len());
+                let before = self.gateway.catalog();
                 let new = self.gateway.set_catalog(Catalog::open(*manifest));
                 tracing::info!(version, routes, new, "received configuration");
                 if new {
                     self.gateway.metrics.manifest_version.set(version as i64);
                     self.gateway.budget_wake.notify_one();
+                    log_prepaid(before.as_deref(), self.gateway.catalog().as_deref());
                 }
                 None
             }
@@ -175,3 +177,20 @@
         }
     }
 }
+
+/// Logs each team whose prepaid tokens differ between two configurations.
+fn log_prepaid(before: Option<&Catalog>, after: Option<&Catalog>) {
+    let prepaid = |catalog: Option<&Catalog>, team: &TeamId| {
+        let mut teams = catalog?.manifest().teams.iter().flatten();
+        let team = teams.find(|listed| listed.name == *team)?;
+        team.prepaid.map(Tokens::get)
+    };
+    let teams = after.and_then(|catalog| catalog.manifest().teams.as_ref());
+    for team in teams.into_iter().flatten() {
+        let (before, after) = (prepaid(before, &team.name), prepaid(after, &team.name));
+        if before != after {
+            let team = team.name.as_str();
+            tracing::info!(team, before, after, "prepaid tokens of a team changed");
+        }
+    }
+}
