escrow: count a router's repeated question for tokens once

Cause: a router that lacks tokens repeats its question to the team's home each 40 ms. The home added up the repetitions, drew that much and asked for a license whose initial amount covered it. When it died, the whole initial amount counted as spent.

Change: the home keeps the last question of each router. A router tells what all of its waiting requests need, so one draw still covers them.

Before and after: plan_counts_a_repeated_question_once failed with an initial amount of 150,000 tokens for a need of 6,000, and passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -277,30 +277,63 @@
     }
 }
 
+/// Where the tokens come from that a request waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TokenSource {
+    /// This router's next draw from the store.
+    Store,
+    /// The answer of another router.
+    Peer,
+}
+
 /// A guard that counts a request as waiting for tokens until it is dropped.
 pub struct TokenWait {
     gateway: Arc<Gateway>,
     team: TeamId,
     tokens: Tokens,
+    source: TokenSource,
 }
 
 impl TokenWait {
-    /// Counts a request as waiting and wakes the budget controller.
-    pub fn start(gateway: &Arc<Gateway>, team: &TeamId, tokens: Tokens) -> Self {
-        gateway.escrow.lock().balance(team).start_waiting(tokens);
-        gateway.budget_wake.notify_one();
+    /// Counts a request as waiting; wakes the budget controller if it waits for the store.
+    pub fn start(
+        gateway: &Arc<Gateway>,
+        team: &TeamId,
+        tokens: Tokens,
+        source: TokenSource,
+    ) -> Self {
+        let mut escrow = gateway.escrow.lock();
+        let balance = escrow.balance(team);
+        match source {
+            TokenSource::Store => {
+                balance.start_waiting(tokens);
+                gateway.budget_wake.notify_one();
+            }
+            TokenSource::Peer => balance.start_asking(tokens),
+        }
+        drop(escrow);
         Self {
             gateway: Arc::clone(gateway),
             team: team.clone(),
             tokens,
+            source,
         }
     }
+
+    /// Returns where the tokens come from.
+    pub fn source(&self) -> TokenSource {
+        self.source
+    }
 }
 
 impl Drop for TokenWait {
     fn drop(&mut self) {
         let mut escrow = self.gateway.escrow.lock();
-        escrow.balance(&self.team).end_waiting(self.tokens);
+        let balance = escrow.balance(&self.team);
+        match self.source {
+            TokenSource::Store => balance.end_waiting(self.tokens),
+            TokenSource::Peer => balance.end_asking(self.tokens),
+        }
     }
 }
 
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -185,7 +185,7 @@
 /// Handles a message; returns the answer, if it needs one.
 fn handle(gateway: &Gateway, peer: SocketAddr, bytes: &[u8]) -> Option<Message> {
     match serde_json::from_slice(bytes) {
-        Ok(Message::Ask(ask)) => Some(Message::Gift(answer_ask(gateway, ask))),
+        Ok(Message::Ask(ask)) => Some(Message::Gift(answer_ask(gateway, peer, ask))),
         Ok(Message::Gift(gift)) => {
             gateway.peers.lock().mark_responsive(peer, gift.from);
             asks::receive(gateway, peer, &gift);
@@ -205,7 +205,7 @@
 }
 
 /// Answers a request for tokens; a repeated request gets the same answer.
-fn answer_ask(gateway: &Gateway, ask: Ask) -> Gift {
+fn answer_ask(gateway: &Gateway, peer: SocketAddr, ask: Ask) -> Gift {
     if let Some(gift) = gateway.handover.lock().given.get(ask.number) {
         return gift.clone();
     }
@@ -220,7 +220,7 @@
     let (tokens, left) = {
         let mut escrow = gateway.escrow.lock();
         let balance = escrow.balance(&team);
-        let tokens = balance.hand_over(needed, wanted, clock);
+        let tokens = balance.hand_over(peer, needed, wanted, clock);
         let left = balance.remaining(since).filter(|_| tokens.is_zero());
         (tokens, left)
     };
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -19,7 +19,7 @@
 
 use crate::adapter::MalformedHeader;
 use crate::catalog::{Catalog, choose_service};
-use crate::gateway::{Gateway, Reservation, TokenWait};
+use crate::gateway::{Gateway, Reservation, TokenSource, TokenWait};
 use crate::handover::{self, Outcome};
 use crate::job::Job;
 use crate::model::{Call, Route, RouteKind, Service, Team};
@@ -343,7 +343,12 @@
         .lock()
         .balance(&team.name)
         .record_demand(bound);
-    let mut waiting = None;
+    let mut waiting: Option<TokenWait> = None;
+    let mut wait_for = |source| {
+        if waiting.as_ref().is_none_or(|wait| wait.source() != source) {
+            waiting = Some(TokenWait::start(gateway, &team.name, bound, source));
+        }
+    };
     loop {
         let reserved = gateway.reserve(&team.name, bound);
         if reserved == Reserved::Done {
@@ -351,7 +356,7 @@
         }
         match handover::ask(gateway, &team.name, bound) {
             Outcome::Exhausted(left) => return Err(exhausted(team, bound, Some(left))),
-            Outcome::Pending => {}
+            Outcome::Pending => wait_for(TokenSource::Peer),
             Outcome::Local => {
                 let known = gateway.escrow.lock().balance(&team.name).snapshot();
                 let age = known.map(|known| gateway.now().saturating_sub(known.at));
@@ -359,7 +364,7 @@
                 if reserved == Reserved::Exhausted && fresh {
                     return Err(exhausted(team, bound, known.map(|known| known.remaining())));
                 }
-                waiting.get_or_insert_with(|| TokenWait::start(gateway, &team.name, bound));
+                wait_for(TokenSource::Store);
             }
         }
         let waited = tokio::select! {
--- a/crates/gateway/tests/suite/budget.rs
+++ b/crates/gateway/tests/suite/budget.rs
@@ -1,11 +1,12 @@
 //! Tests that spending stays within the prepaid tokens under failures of routers and the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use fescue_core::{TeamId, Tokens};
 use fescue_gateway::budget::{Controller, Goal};
-use fescue_gateway::gateway::{Gateway, TokenWait};
+use fescue_gateway::gateway::{Gateway, TokenSource, TokenWait};
 use fescue_policy::escrow::Reserved;
 use fescue_standin::platform::Faults;
 use rand::rngs::StdRng;
@@ -53,8 +54,12 @@
         if reserved == Reserved::Done {
             self.open.push(tokens);
         } else {
-            self.waiting
-                .push(TokenWait::start(&self.gateway, &team(), tokens));
+            self.waiting.push(TokenWait::start(
+                &self.gateway,
+                &team(),
+                tokens,
+                TokenSource::Store,
+            ));
         }
         reserved
     }
@@ -306,7 +311,10 @@
         // Either returns the surplus of earlier transfers or answers a request for tokens.
         match rng.random_bool(0.3) {
             true => balance.take_surplus(rng.random(), clock),
-            false => balance.hand_over(wanted.scale(rng.random()), wanted, clock),
+            false => {
+                let to = SocketAddr::from(([10, 0, 0, taker as u8], 7000));
+                balance.hand_over(to, wanted.scale(rng.random()), wanted, clock)
+            }
         }
     };
     let answered = rng.random_bool(0.8);
--- a/crates/policy/src/escrow/balance.rs
+++ b/crates/policy/src/escrow/balance.rs
@@ -1,8 +1,10 @@
 //! The tokens that one router holds of one team, and the license that it requests next.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fescue_core::Tokens;
+use indexmap::IndexMap;
 
 use super::{Account, AccountSnapshot, License, Reserved, rate_delay, renewal_interval};
 use crate::homes::Role;
@@ -71,10 +73,12 @@
     reserved: Tokens,
     /// Tokens that other routers handed over; they count as spent in the licenses of those routers.
     received: Tokens,
-    /// Tokens that waiting requests need.
+    /// Tokens that requests need which wait for a draw from the store.
     waiting: Tokens,
-    /// Requests of other routers that were refused since the last plan.
-    unmet: Unmet,
+    /// Tokens that requests need which wait for another router's answer.
+    asking: Tokens,
+    /// What each other router last asked for in vain since the last plan.
+    unmet: IndexMap<SocketAddr, Unmet>,
     /// Demand since the last observation, less reserved tokens that were not consumed.
     recent: Tokens,
     /// The average rate of spending in tokens per second.
@@ -82,11 +86,11 @@
     snapshot: Option<AccountSnapshot>,
 }
 
-/// Requests of other routers that this one couldn't cover.
-#[derive(Clone, Copy, Debug, Default)]
+/// A request of another router that this one couldn't cover.
+#[derive(Clone, Copy, Debug)]
 struct Unmet {
-    total: Tokens,
-    smallest: Tokens,
+    needed: Tokens,
+    wanted: Tokens,
 }
 
 impl Balance {
@@ -120,21 +124,24 @@
         self.consumed().saturating_sub(self.received)
     }
 
-    /// Hands tokens over to another router that needs `needed` and would like `wanted`; returns how
+    /// Hands tokens over to the router `to` that needs `needed` and would like `wanted`; returns how
     /// many, which is zero if `needed` isn't covered.
     ///
     /// They count as spent here, so the other router may spend them without a license.
-    pub fn hand_over(&mut self, needed: Tokens, wanted: Tokens, clock: Duration) -> Tokens {
+    pub fn hand_over(
+        &mut self,
+        to: SocketAddr,
+        needed: Tokens,
+        wanted: Tokens,
+        clock: Duration,
+    ) -> Tokens {
         let available = self.available(clock);
         if available < needed {
-            let smallest = match self.unmet.total.is_zero() {
-                true => needed,
-                false => self.unmet.smallest.min(needed),
-            };
-            let total = self.unmet.total.saturating_add(needed);
-            self.unmet = Unmet { total, smallest };
+            // Replaces the router's earlier requests, which it repeats until it gets tokens.
+            self.unmet.insert(to, Unmet { needed, wanted });
             return Tokens::ZERO;
         }
+        self.unmet.swap_remove(&to);
         let ample = available >= wanted.scale(AMPLE_FACTOR);
         let given = if ample { wanted.max(needed) } else { needed };
         self.spent = self.spent.saturating_add(given);
@@ -157,7 +164,7 @@
     pub fn wanted(&self, tokens: Tokens, clock: Duration) -> (Tokens, Tokens) {
         let available = self.available(clock);
         let needed = tokens.saturating_sub(available);
-        let waiting = self.waiting.saturating_sub(available);
+        let waiting = self.waiting.max(self.asking).saturating_sub(available);
         let soon = self.at_rate(REQUEST_HORIZON);
         (needed, needed.max(waiting).max(soon))
     }
@@ -218,6 +225,16 @@
         self.waiting = self.waiting.saturating_sub(tokens);
     }
 
+    /// Adds the tokens that a request starts to ask other routers for.
+    pub fn start_asking(&mut self, tokens: Tokens) {
+        self.asking = self.asking.saturating_add(tokens);
+    }
+
+    /// Subtracts the tokens that a request has stopped asking other routers for.
+    pub fn end_asking(&mut self, tokens: Tokens) {
+        self.asking = self.asking.saturating_sub(tokens);
+    }
+
     /// Reserves tokens for a request, at the time `clock` of the store's clock.
     pub fn reserve(&mut self, tokens: Tokens, clock: Duration) -> Reserved {
         if self.available(clock) >= tokens {
@@ -274,21 +291,23 @@
     /// Returns the tokens that must be held now, for waiting requests and for refused routers. The
     /// latter count only if their smallest request can be covered.
     fn required(&self, left: Tokens) -> Tokens {
-        let unmet = self.unmet.total;
-        if !unmet.is_zero() && self.unused().saturating_add(left) < self.unmet.smallest {
+        let reach = self.unused().saturating_add(left);
+        let mut unmet = self.unmet.values();
+        if unmet.all(|unmet| reach < unmet.needed) {
             return self.waiting;
         }
-        self.waiting.saturating_add(unmet)
+        let wanted = self.unmet.values().map(|unmet| unmet.wanted);
+        self.waiting.saturating_add(wanted.sum())
     }
 
     /// Clears the refused requests of other routers, which will ask again.
     pub fn clear_unmet(&mut self) {
-        self.unmet = Unmet::default();
+        self.unmet.clear();
     }
 
     /// Returns whether this router holds no license for the team and needs none.
     pub fn is_idle(&self, role: Role) -> bool {
-        let unneeded = self.waiting.is_zero() && self.unmet.total.is_zero();
+        let unneeded = self.waiting.is_zero() && self.unmet.is_empty();
         let unlicensed = self.licensed().is_zero() && self.pending.is_empty();
         role == Role::Other && unneeded && unlicensed
     }
@@ -358,7 +377,7 @@
     /// Returns how urgently the planned license must replace the current one: 2 while requests wait,
     /// otherwise the missing fraction of the planned unused tokens, from 0 to 1.
     pub fn urgency(&self, plan: &License) -> f64 {
-        if !self.waiting.is_zero() || !self.unmet.total.is_zero() {
+        if !self.waiting.is_zero() || !self.unmet.is_empty() {
             return 2.0;
         }
         let planned = plan.granted.saturating_sub(self.used()).get() as f64;
--- a/crates/policy/tests/suite/escrow.rs
+++ b/crates/policy/tests/suite/escrow.rs
@@ -1,5 +1,6 @@
 //! Tests for the tokens that a router may spend, and for those recovered after it dies.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fescue_core::Tokens;
@@ -26,6 +27,11 @@
     }
 }
 
+/// The address of a router that asks for tokens.
+fn asker(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
 fn secs(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -126,7 +132,7 @@
 fn hand_over_counts_as_spent_by_the_giver() {
     let (mut giver, mut receiver) = (Balance::default(), Balance::default());
     giver.accept(license(1000, 1000, 0), Duration::ZERO);
-    let given = giver.hand_over(Tokens::new(600), Tokens::new(600), Duration::ZERO);
+    let given = giver.hand_over(asker(1), Tokens::new(600), Tokens::new(600), Duration::ZERO);
     receiver.receive(given);
     assert_eq!(given, Tokens::new(600));
     assert_eq!(giver.available(Duration::ZERO), Tokens::new(400));
@@ -184,7 +190,8 @@
     home.accept(license(1000, 1000, 0), Duration::ZERO);
     let ask = |home: &mut Balance, needed, wanted| {
         let (needed, wanted) = (Tokens::new(needed), Tokens::new(wanted));
-        home.hand_over(needed, wanted, Duration::ZERO).get()
+        home.hand_over(asker(1), needed, wanted, Duration::ZERO)
+            .get()
     };
     assert_eq!(ask(&mut home, 1001, 1001), 0);
     assert_eq!(ask(&mut home, 10, 200), 200);
@@ -198,9 +205,10 @@
 #[test]
 fn plan_home_draws_for_all_refused_requests() {
     let mut home = Balance::default();
-    for _ in 0..80 {
+    for router in 0..80 {
         let needed = Tokens::new(6_000);
-        assert!(home.hand_over(needed, needed, Duration::ZERO).is_zero());
+        let given = home.hand_over(asker(router), needed, needed, Duration::ZERO);
+        assert!(given.is_zero());
     }
     let plan = home.plan(&Account::default(), PREPAID, Role::Home, 24);
     assert!(plan.base.get() >= 480_000, "{plan:?}");
@@ -209,13 +217,43 @@
     assert!(plan.base.is_zero(), "{plan:?}");
 }
 
+/// A router repeats its question until it gets tokens. A home that adds the repetitions up requests a
+/// license for many times what is needed, and all of it is lost if the home dies.
+#[test]
+fn plan_counts_a_repeated_question_once() {
+    let mut home = Balance::default();
+    for _ in 0..25 {
+        let needed = Tokens::new(6_000);
+        let given = home.hand_over(asker(1), needed, needed, Duration::ZERO);
+        assert!(given.is_zero());
+    }
+    let plan = home.plan(&Account::default(), PREPAID, Role::Home, 8);
+    assert_eq!(plan.base.get(), 6_000, "{plan:?}");
+}
+
+/// Ten requests of one router wait for the home. It asks for one of them at a time, so the home has to
+/// know what all of them need to cover them with one draw.
+#[test]
+fn plan_home_draws_for_all_requests_of_one_router() {
+    let (mut home, mut router) = (Balance::default(), Balance::default());
+    for _ in 0..10 {
+        router.start_asking(Tokens::new(6_000));
+    }
+    let (needed, wanted) = router.wanted(Tokens::new(6_000), Duration::ZERO);
+    let given = home.hand_over(asker(1), needed, wanted, Duration::ZERO);
+    assert!(given.is_zero());
+    let plan = home.plan(&Account::default(), PREPAID, Role::Home, 8);
+    assert_eq!(plan.base.get(), 60_000, "{plan:?}");
+}
+
 /// A backup must not draw tokens for others if the account doesn't cover even the smallest request:
 /// the tokens would be held without being usable.
 #[test]
 fn plan_draws_nothing_below_the_smallest_request() {
     let mut backup = Balance::default();
     let needed = Tokens::new(6_000);
-    assert!(backup.hand_over(needed, needed, Duration::ZERO).is_zero());
+    let given = backup.hand_over(asker(1), needed, needed, Duration::ZERO);
+    assert!(given.is_zero());
     let account = Account {
         granted: Tokens::new(995_000),
     };
