handover: pass tokens on at a planned stop without the store

Cause: a process that stopped while the store could not be written returned nothing. Its successor had to count all that the license had allowed by then as spent, though the process knew that it wasn't and other routers were alive. Besides, tokens were returned to homes that had just exited.

Change: if the store takes nothing back in time, a stopping process passes what its licenses allow to a router that answers, and announces its exit so that nobody sends it tokens; homes are ranked without it. Returns go only to routers that have answered of late. The log tells what is returned to whom.

Conclusion: the spent amount is counted by the giver as with any hand-over, so no token is spent twice. Kills without a planned stop lose as much as before.

--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -24,7 +24,7 @@
 use asks::Asks;
 pub use asks::{Outcome, RETRY_INTERVAL, ask};
 use returns::Returns;
-pub use returns::return_all;
+pub use returns::{Holdings, SHUTDOWN_TIMEOUT, pass_on};
 
 /// Interval between checks for balances that run low or have a surplus.
 const REFILL_INTERVAL: Duration = Duration::from_millis(100);
@@ -51,7 +51,9 @@
     Gift(Gift),
     /// Returns surplus tokens to the home.
     Return(Return),
-    /// Acknowledges a [`Return`].
+    /// Asks for a [`Taken`] without handing over tokens.
+    Probe(Probe),
+    /// Acknowledges a [`Return`] or a [`Probe`].
     Taken(Taken),
 }
 
@@ -86,6 +88,15 @@
     to: Incarnation,
 }
 
+/// Asks a router for a sign of life.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Probe {
+    number: u64,
+    from: Incarnation,
+    /// Whether the sender is about to exit, so that nobody sends it tokens.
+    leaving: bool,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Taken {
     number: u64,
@@ -163,7 +174,7 @@
             },
             _ = ticks.tick() => {
                 asks::refill(&gateway);
-                returns::run_round(&gateway, true);
+                returns::run_round(&gateway);
             }
         }
     }
@@ -192,6 +203,15 @@
             None
         }
         Ok(Message::Return(returned)) => accept_return(gateway, &returned),
+        Ok(Message::Probe(probe)) => {
+            if probe.leaving {
+                gateway.peers.lock().mark_leaving(peer, probe.from);
+            }
+            Some(Message::Taken(Taken {
+                number: probe.number,
+                from: gateway.incarnation,
+            }))
+        }
         Ok(Message::Taken(accepted)) => {
             gateway.peers.lock().mark_responsive(peer, accepted.from);
             gateway.handover.lock().returns.close(accepted.number);
--- a/crates/gateway/src/handover/returns.rs
+++ b/crates/gateway/src/handover/returns.rs
@@ -1,13 +1,14 @@
-//! Returns surplus tokens to the homes of their teams.
+//! Returns surplus tokens to the homes of their teams, and passes on what a stopping process holds.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fescue_core::{Incarnation, TeamId};
+use fescue_core::{TeamId, Tokens};
+use fescue_policy::escrow::Balance;
 use tokio::time::{Instant, sleep};
 
-use super::{Message, RETRY_INTERVAL, Return};
+use super::{Message, Probe, RETRY_INTERVAL, Return};
 use crate::gateway::Gateway;
 use crate::peers::Home;
 
@@ -20,13 +21,19 @@
 /// Maximum number of unacknowledged returns.
 const MAX_OPEN: usize = 256;
 
+/// Time within which a router must have answered to be sent tokens: those that reach a router which
+/// has just died are lost.
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(300);
+
 /// Time a stopping process waits for its returns to be acknowledged.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(250);
+pub const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The returns that are not acknowledged yet, by number.
 #[derive(Debug, Default)]
 pub(super) struct Returns {
     open: HashMap<u64, OpenReturn>,
+    /// Whether this process is about to exit.
+    leaving: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -44,38 +51,122 @@
     }
 }
 
-/// Returns surplus tokens and repeats unacknowledged returns; without `keep`, all available tokens
-/// that were handed over count as surplus.
-pub(super) fn run_round(gateway: &Gateway, keep: bool) {
-    let teams: Vec<TeamId> = {
-        let mut escrow = gateway.escrow.lock();
-        let handed = escrow.iter_mut().filter(|(_, b)| b.has_received());
-        handed.map(|(team, _)| team.clone()).collect()
-    };
-    for team in teams {
-        return_surplus(gateway, team, keep);
+/// Which tokens a stopping process passes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holdings {
+    /// Those that other routers handed over. The rest goes back to the store.
+    Received,
+    /// All that its licenses allow by now, if the store can't be written.
+    Allowed,
+}
+
+/// Returns surplus tokens and repeats unacknowledged returns.
+pub(super) fn run_round(gateway: &Gateway) {
+    let clock = gateway.table.clock().unwrap_or_default();
+    for team in teams(gateway, |balance| balance.has_received()) {
+        let home = gateway.peers.lock().homes(&team).first().copied();
+        if let Some(Home::Peer(home)) = home {
+            send_to_first(gateway, &team, &[home], |gateway| {
+                let mut escrow = gateway.escrow.lock();
+                escrow.balance(&team).take_surplus(true, clock)
+            });
+        }
     }
     send_open(gateway);
 }
 
-/// Moves a team's surplus from the local balance to a return that is to be sent.
-fn return_surplus(gateway: &Gateway, team: TeamId, keep: bool) {
-    let Some((home, to)) = home(gateway, &team) else {
-        return;
-    };
+/// Tells all routers that this process is about to exit, and passes its unreserved tokens on to them.
+pub async fn pass_on(gateway: &Gateway, holdings: Holdings) {
+    let end = Instant::now() + SHUTDOWN_TIMEOUT;
+    gateway.handover.lock().returns.leaving = true;
+    let routers = gateway.peers.lock().addresses();
+    probe(gateway, &routers);
     let clock = gateway.table.clock().unwrap_or_default();
-    let tokens = {
-        let mut escrow = gateway.escrow.lock();
-        escrow.balance(&team).take_surplus(keep, clock)
+    let mut waiting = teams(gateway, |balance| match holdings {
+        Holdings::Received => balance.has_received(),
+        Holdings::Allowed => !balance.available(clock).is_zero(),
+    });
+    loop {
+        // Each team is passed on once: its license allows more with every moment.
+        waiting.retain(|team| {
+            let routers = receivers(gateway, team);
+            !send_to_first(gateway, team, &routers, |gateway| {
+                let clock = gateway.table.clock().unwrap_or_default();
+                let mut escrow = gateway.escrow.lock();
+                let balance = escrow.balance(team);
+                match holdings {
+                    Holdings::Received => balance.take_surplus(false, clock),
+                    Holdings::Allowed => balance.take_available(clock),
+                }
+            })
+        });
+        send_open(gateway);
+        let done = waiting.is_empty() && gateway.handover.lock().returns.open.is_empty();
+        if done || Instant::now() >= end {
+            return;
+        }
+        sleep(RETRY_INTERVAL / 4).await;
+    }
+}
+
+/// Returns the teams whose balance satisfies a condition.
+fn teams(gateway: &Gateway, held: impl Fn(&Balance) -> bool) -> Vec<TeamId> {
+    let mut escrow = gateway.escrow.lock();
+    let held = escrow.iter_mut().filter(|(_, balance)| held(balance));
+    held.map(|(team, _)| team.clone()).collect()
+}
+
+/// Returns the routers that may take a stopping router's tokens of a team, best first.
+fn receivers(gateway: &Gateway, team: &TeamId) -> Vec<SocketAddr> {
+    let peers = gateway.peers.lock();
+    let homes = peers.homes(team).into_iter();
+    let mut routers: Vec<_> = homes
+        .filter_map(|home| match home {
+            Home::Peer(address) => Some(address),
+            Home::Own => None,
+        })
+        .collect();
+    routers.extend(peers.answered_within(MAX_ANSWER_AGE));
+    routers
+}
+
+/// Sends tokens of a team to the first of the routers that answers, or, if none has done so of late,
+/// asks all of them for an answer. Returns whether the tokens could be sent.
+fn send_to_first(
+    gateway: &Gateway,
+    team: &TeamId,
+    routers: &[SocketAddr],
+    take: impl FnOnce(&Gateway) -> Tokens,
+) -> bool {
+    if gateway.handover.lock().returns.open.len() >= MAX_OPEN {
+        return false;
+    }
+    let receiver = {
+        let peers = gateway.peers.lock();
+        let answers = |router: &&SocketAddr| peers.has_answered_within(**router, MAX_ANSWER_AGE);
+        let router = routers.iter().find(answers);
+        router.and_then(|router| Some((*router, peers.incarnation(*router)?)))
+    };
+    let Some((home, to)) = receiver else {
+        probe(gateway, routers);
+        return false;
     };
+    let tokens = take(gateway);
     if tokens.is_zero() {
-        return;
+        return true;
     }
     gateway.metrics.count_transfer("returned", tokens);
     let number = rand::random();
+    tracing::info!(
+        team = team.as_str(),
+        number,
+        tokens = tokens.get(),
+        to = %home,
+        "returning tokens to another router"
+    );
     let message = Return {
         number,
-        team,
+        team: team.clone(),
         tokens,
         to,
     };
@@ -86,18 +177,22 @@
         sends: 0,
     };
     gateway.handover.lock().returns.open.insert(number, open);
+    true
 }
 
-/// Returns the home of a team and its incarnation; `None` if this router is the home, the
-/// incarnation is unknown or too many returns are open.
-fn home(gateway: &Gateway, team: &TeamId) -> Option<(SocketAddr, Incarnation)> {
-    if gateway.handover.lock().returns.open.len() >= MAX_OPEN {
-        return None;
-    }
-    let peers = gateway.peers.lock();
-    match peers.homes(team).first()? {
-        Home::Own => None,
-        Home::Peer(address) => Some((*address, peers.incarnation(*address)?)),
+/// Asks routers for a sign of life, each at most once in [`RETRY_INTERVAL`].
+fn probe(gateway: &Gateway, routers: &[SocketAddr]) {
+    let handover = gateway.handover.lock();
+    let mut peers = gateway.peers.lock();
+    for router in routers {
+        if peers.start_probe(*router, RETRY_INTERVAL) {
+            let probe = Probe {
+                number: rand::random(),
+                from: gateway.incarnation,
+                leaving: handover.returns.leaving,
+            };
+            handover.send(*router, Message::Probe(probe));
+        }
     }
 }
 
@@ -126,12 +221,3 @@
         handover.send(home, Message::Return(message));
     }
 }
-
-/// Returns all unreserved tokens that other routers handed over, at a planned shutdown.
-pub async fn return_all(gateway: &Gateway) {
-    run_round(gateway, false);
-    let end = Instant::now() + SHUTDOWN_TIMEOUT;
-    while Instant::now() < end && !gateway.handover.lock().returns.open.is_empty() {
-        sleep(RETRY_INTERVAL / 4).await;
-    }
-}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -48,6 +48,12 @@
     list: Vec<Peer>,
     complete: bool,
     unresponsive: HashMap<SocketAddr, Instant>,
+    /// The incarnations that have announced their exit.
+    leaving: HashMap<SocketAddr, Incarnation>,
+    /// When each router last answered.
+    answers: HashMap<SocketAddr, Instant>,
+    /// When each router was last asked for a sign of life.
+    probes: HashMap<SocketAddr, Instant>,
 }
 
 impl Peers {
@@ -58,6 +64,9 @@
             list: Vec::new(),
             complete: true,
             unresponsive: HashMap::new(),
+            leaving: HashMap::new(),
+            answers: HashMap::new(),
+            probes: HashMap::new(),
         }
     }
 
@@ -73,6 +82,9 @@
         self.complete |= complete;
         let listed = |address: &SocketAddr| self.list.iter().any(|peer| peer.address == *address);
         self.unresponsive.retain(|address, _| listed(address));
+        self.leaving.retain(|address, _| listed(address));
+        self.answers.retain(|address, _| listed(address));
+        self.probes.retain(|address, _| listed(address));
     }
 
     /// Returns the incarnation of the router at an address; `None` if it is not listed.
@@ -87,9 +99,43 @@
         let peer = self.list.iter_mut().find(|peer| peer.address == address);
         if let Some(peer) = peer {
             peer.incarnation = incarnation;
+            self.answers.insert(address, Instant::now());
         }
     }
 
+    /// Records that a router is about to exit, which ends its role as a home. Its successor on the same
+    /// address has another incarnation.
+    pub fn mark_leaving(&mut self, address: SocketAddr, incarnation: Incarnation) {
+        self.leaving.insert(address, incarnation);
+    }
+
+    /// Returns the addresses of all listed routers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.list.iter().map(|peer| peer.address).collect()
+    }
+
+    /// Returns whether a router has answered within the given time.
+    pub fn has_answered_within(&self, address: SocketAddr, time: Duration) -> bool {
+        let answered = self.answers.get(&address);
+        answered.is_some_and(|at| at.elapsed() < time)
+    }
+
+    /// Returns the routers that have answered within the given time.
+    pub fn answered_within(&self, time: Duration) -> Vec<SocketAddr> {
+        let recent = self.answers.iter().filter(|(_, at)| at.elapsed() < time);
+        recent.map(|(address, _)| *address).collect()
+    }
+
+    /// Returns whether a router may be asked for a sign of life, at most once in `interval`.
+    pub fn start_probe(&mut self, address: SocketAddr, interval: Duration) -> bool {
+        let last = self.probes.get(&address);
+        let due = last.is_none_or(|at| at.elapsed() >= interval);
+        if due {
+            self.probes.insert(address, Instant::now());
+        }
+        due
+    }
+
     /// Records that a router did not answer, which takes it off the homes to ask for one second.
     pub fn mark_unresponsive(&mut self, address: SocketAddr) {
         self.unresponsive
@@ -121,9 +167,11 @@
 
     fn rank(&self, team: &TeamId) -> Vec<Home> {
         let key = hash::digest64(team.as_str().as_bytes());
-        let mut members: Vec<_> = self.list.iter().map(|peer| peer.member).collect();
+        let stays = |peer: &&Peer| self.leaving.get(&peer.address) != Some(&peer.incarnation);
+        let staying: Vec<_> = self.list.iter().filter(stays).collect();
+        let mut members: Vec<_> = staying.iter().map(|peer| peer.member).collect();
         members.push(self.own);
-        let home = |place: usize| match self.list.get(place) {
+        let home = |place: usize| match staying.get(place) {
             Some(peer) => Home::Peer(peer.address),
             None => Home::Own,
         };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 
 use crate::adapter::{HeaderCodec, Registry, Topic};
 use crate::gateway::Gateway;
+use crate::handover::Holdings;
 use crate::lifecycle::Event;
 use crate::logs::Logs;
 use crate::reload::Reload;
@@ -42,7 +43,7 @@
 /// [`RETURN_TIMEOUT`], before its end.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
-/// Time limit for returning unspent tokens at shutdown.
+/// Time limit for returning unspent tokens to the store at shutdown.
 const RETURN_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Runs a gateway until SIGTERM or SIGINT, then shuts it down within the grace period.
@@ -89,7 +90,7 @@
         ));
     }
     let (goal, goals) = watch::channel(budget::Goal::Serve);
-    let budget = tokio::spawn(budget::run(Arc::clone(&gateway), goals));
+    let mut budget = tokio::spawn(budget::run(Arc::clone(&gateway), goals));
     tokio::spawn(handover::run(Arc::clone(&gateway), peers));
     tokio::spawn(link_use::run(Arc::clone(&gateway)));
     tokio::spawn(fleet::run(Arc::clone(&gateway), Arc::clone(&table)));
@@ -101,12 +102,18 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    let exit = Instant::now() + gateway.tuning().grace.saturating_sub(EXIT_MARGIN / 2);
     stop(&gateway, &drain).await;
-    handover::return_all(&gateway).await;
-    let end = Instant::now() + RETURN_TIMEOUT;
+    handover::pass_on(&gateway, Holdings::Received).await;
+    let end = (exit - handover::SHUTDOWN_TIMEOUT).min(Instant::now() + RETURN_TIMEOUT);
     goal.send_replace(budget::Goal::Stop);
     gateway.budget_wake.notify_one();
-    let given = timeout_at(end, budget).await.is_ok();
+    let given = timeout_at(end, &mut budget).await.is_ok();
+    if !given {
+        budget.abort();
+        tracing::warn!("tokens not returned to the store; passing them on to other routers");
+        handover::pass_on(&gateway, Holdings::Allowed).await;
+    }
     tracing::info!(given, "stopped");
     Ok(())
 }
--- a/crates/gateway/tests/suite/budget.rs
+++ b/crates/gateway/tests/suite/budget.rs
@@ -242,8 +242,8 @@
 }
 
 /// Four routers spend at full rate while the store is down, slow or loses responses before or after
-/// the write, processes crash with open requests and restart, and answers to token transfers get
-/// lost. Consumption must not exceed the prepaid amount.
+/// the write, one or all processes crash with open requests and restart, and answers to token transfers
+/// get lost. Consumption must not exceed the prepaid amount.
 #[tokio::test(start_paused = true)]
 async fn round_never_overspends_in_generated_stories() {
     for seed in first_seed()..first_seed() + case_count() {
@@ -287,10 +287,15 @@
             }
             94..97 => hand_over(&mut rng, &routers, &store, at),
             97..99 => {
-                // Open requests count in full, since an engine may have consumed all of it.
-                let open = std::mem::take(&mut routers[at].open);
-                consumed += open.iter().map(|tokens| tokens.get()).sum::<u64>();
-                routers[at] = Router::start(names[at], &store);
+                let all = rng.random_bool(0.3);
+                for index in 0..routers.len() {
+                    if all || index == at {
+                        // Open requests count in full, since an engine may have consumed all of it.
+                        let open = std::mem::take(&mut routers[index].open);
+                        consumed += open.iter().map(|tokens| tokens.get()).sum::<u64>();
+                        routers[index] = Router::start(names[index], &store);
+                    }
+                }
             }
             _ => store.memory.set_faults(Faults::default()),
         }
@@ -308,10 +313,12 @@
     let given = {
         let mut escrow = routers[giver].gateway.escrow.lock();
         let balance = escrow.balance(&team());
-        // Either returns the surplus of earlier transfers or answers a request for tokens.
-        match rng.random_bool(0.3) {
-            true => balance.take_surplus(rng.random(), clock),
-            false => {
+        // Returns the surplus of earlier transfers, passes all on as at a planned stop, or answers a
+        // request for tokens.
+        match rng.random_range(0..10) {
+            0..3 => balance.take_surplus(rng.random(), clock),
+            3 => balance.take_available(clock),
+            _ => {
                 let to = SocketAddr::from(([10, 0, 0, taker as u8], 7000));
                 balance.hand_over(to, wanted.scale(rng.random()), wanted, clock)
             }
--- a/crates/gateway/tests/suite/handover.rs
+++ b/crates/gateway/tests/suite/handover.rs
@@ -6,7 +6,7 @@
 
 use fescue_core::{TeamId, Tokens};
 use fescue_gateway::gateway::Gateway;
-use fescue_gateway::handover::{self, Outcome};
+use fescue_gateway::handover::{self, Holdings, Outcome};
 use fescue_gateway::peers::Peer;
 use fescue_policy::escrow::{AccountSnapshot, License, Reserved};
 use fescue_policy::homes::Role;
@@ -215,6 +215,65 @@
     assert_eq!(pair.held(), HELD);
 }
 
+/// Returns the tokens that a router can spend.
+fn available(router: &Gateway, team: &TeamId) -> u64 {
+    let mut escrow = router.escrow.lock();
+    escrow.balance(team).available(Duration::ZERO).get()
+}
+
+/// A home that stops while the store is away can't return its tokens there. Without another router that
+/// takes them they are lost, since its successor counts them as spent.
+#[tokio::test]
+async fn pass_on_gives_what_the_license_allows_to_a_peer() {
+    let pair = Pair::start().await;
+    handover::pass_on(&pair.home, Holdings::Allowed).await;
+    assert_eq!(available(&pair.home, &pair.team), 0);
+    assert_eq!(available(&pair.asker, &pair.team), HELD);
+}
+
+/// Tokens that are sent to a router which is gone are lost, so they stay until one has answered.
+#[tokio::test]
+async fn pass_on_keeps_tokens_that_nobody_takes() {
+    let pair = Pair::start().await;
+    let (_socket, silent) = socket().await;
+    let peer = Peer::new("vm-2", silent, pair.asker.incarnation);
+    pair.home.peers.lock().set(vec![peer], true);
+    handover::pass_on(&pair.home, Holdings::Allowed).await;
+    assert_eq!(available(&pair.home, &pair.team), HELD);
+}
+
+/// The peers of a stopping home return their surplus to it until they know that it leaves; those tokens
+/// would be lost.
+#[tokio::test]
+async fn pass_on_ends_the_role_of_the_home() {
+    let pair = Pair::start().await;
+    // The tasks that send messages have to start first.
+    sleep(handover::RETRY_INTERVAL).await;
+    handover::pass_on(&pair.home, Holdings::Received).await;
+    let told = async {
+        while pair.asker.peers.lock().role(&pair.team) != Role::Home {
+            sleep(handover::RETRY_INTERVAL / 4).await;
+        }
+    };
+    timeout(ANSWER_TIMEOUT, told).await.expect("a new home");
+    let next = Peer::new("vm-1", pair.address, "1".parse().expect("an incarnation"));
+    pair.asker.peers.lock().set(vec![next], true);
+    assert_eq!(pair.asker.peers.lock().role(&pair.team), Role::Backup);
+}
+
+/// A home that has died may still be listed. Tokens that are returned to it are lost.
+#[tokio::test]
+async fn return_surplus_waits_for_an_answer_of_the_home() {
+    let pair = Pair::start().await;
+    let (_socket, silent) = socket().await;
+    let peer = Peer::new("vm-1", silent, pair.home.incarnation);
+    pair.asker.peers.lock().set(vec![peer], true);
+    let tokens = Tokens::new(6_000);
+    pair.asker.escrow.lock().balance(&pair.team).receive(tokens);
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(available(&pair.asker, &pair.team), 6_000);
+}
+
 /// A datagram may be duplicated by the network; its tokens count once.
 #[tokio::test]
 async fn ask_answer_that_comes_twice_counts_once() {
--- a/crates/policy/src/escrow/balance.rs
+++ b/crates/policy/src/escrow/balance.rs
@@ -194,6 +194,15 @@
         surplus
     }
 
+    /// Removes all tokens that can be reserved, to pass them on to another router.
+    ///
+    /// They count as spent here, as with [`Self::hand_over`].
+    pub fn take_available(&mut self, clock: Duration) -> Tokens {
+        let available = self.available(clock);
+        self.spent = self.spent.saturating_add(available);
+        available
+    }
+
     fn at_rate(&self, time: Duration) -> Tokens {
         Tokens::new((self.rate * time.as_secs_f64()) as u64)
     }
--- a/crates/policy/tests/suite/escrow.rs
+++ b/crates/policy/tests/suite/escrow.rs
@@ -261,6 +261,21 @@
     assert_eq!(plan.granted, Tokens::ZERO);
 }
 
+/// What a stopping router passes on must count as spent by it, or two routers could spend it.
+#[test]
+fn take_available_counts_as_spent() {
+    let mut balance = Balance::default();
+    balance.accept(license(1000, 300, 100), Duration::ZERO);
+    balance.receive(Tokens::new(50));
+    assert_eq!(
+        balance.reserve(Tokens::new(100), Duration::ZERO),
+        Reserved::Done
+    );
+    assert_eq!(balance.take_available(secs(1)), Tokens::new(350));
+    assert!(balance.take_available(secs(1)).is_zero());
+    assert_eq!(balance.available(secs(2)), Tokens::new(100));
+}
+
 #[test]
 fn take_surplus_only_of_received_tokens() {
     let mut balance = Balance::default();
--- a/crates/router/tests/suite/gateway.rs
+++ b/crates/router/tests/suite/gateway.rs
@@ -461,3 +461,56 @@
         "the gateway serves once it reads the state of the upstreams"
     );
 }
+
+/// Sums the field `tokens` of the log lines with a message.
+fn logged_tokens(gateway: &Gateway, message: &str) -> u64 {
+    let lines = gateway.log_lines("message", message);
+    lines
+        .iter()
+        .filter_map(|line| line["tokens"].as_u64())
+        .sum()
+}
+
+/// Guards against refusals for budget after planned stops without a store: the home of a team stops,
+/// can't return what it holds, and the tokens are lost unless another router takes them.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_stop_without_a_store_passes_tokens_on() {
+    let site = Site::open("pass-on", 200_000).await;
+    let gateways = [site.ready("vm-1").await, site.ready("vm-2").await];
+    let is_home = |gateway: &Gateway| {
+        let asked = gateway.log_lines("message", "answered a request for tokens");
+        !asked.is_empty()
+    };
+    let mut home = None;
+    for index in 0..400 {
+        let ask = site.ask(Kind::Draft, &format!("p-{index}"));
+        let _seen = send(gateways[index % 2].ports.callers, &ask).await;
+        home = gateways.iter().position(is_home);
+        if home.is_some() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let home = home.expect("one of two routers asks the other for tokens");
+    let (home, other) = (&gateways[home], &gateways[1 - home]);
+    site.store.store.set_faults(store::Faults {
+        busy: true,
+        ..store::Faults::default()
+    });
+    // The license allows more with time.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    home.signal(Signal::TERM);
+    let status = home.await_exit(EXIT_TIMEOUT).await;
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    let returned = logged_tokens(home, "returning tokens to another router");
+    let accepted = logged_tokens(other, "accepted returned tokens");
+    assert!(accepted >= 1_300, "{accepted} tokens were passed on");
+    assert_eq!(returned, accepted);
+    let mut served = 0;
+    for index in 0..8 {
+        let ask = site.ask(Kind::Draft, &format!("after-{index}"));
+        let seen = send(other.ports.callers, &ask).await;
+        served += u64::from(matches!(seen, Outcome::Served { .. }));
+    }
+    assert_eq!(served, 8, "the other router serves without the store");
+}
