gateway: bound the bytes read from an upstream without end

What callers saw: an upstream that sends interim responses without end kept the gateway busy, and other callers got no answer by their deadlines; streams of events that are always available went on past the deadline and past the output that was reserved; error responses to streams were read whole without a limit (166 MB with 64 requests open).

Cause: the HTTP client bounds one head, not the interim responses before it; the body of a failed stream was collected without a limit, others each to 4 MiB without a common one; a time-out that is polled after the data never expires.

Change: a connection fails after 256 KiB without a complete head; bodies share 16 MiB beyond 64 KiB each; a stream fails at its deadline, at an event over 64 KiB and at more events than the request asked for.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::HeaderCodec;
+use crate::buffers::Buffers;
 use crate::catalog::Catalog;
 use crate::handover::Handover;
 use crate::lifecycle::{Event, Lifecycle, Phase};
@@ -46,6 +47,8 @@
     pub table: Arc<dyn Table>,
     /// The metrics that `/metrics` serves.
     pub metrics: Metrics,
+    /// The memory for response bodies that are read whole.
+    pub buffers: Buffers,
     /// The upstreams that requests may be sent to.
     pub servers: Mutex<Servers>,
     /// The tokens of each team that this router may spend.
@@ -101,6 +104,7 @@
             codec,
             table,
             metrics: Metrics::default(),
+            buffers: Buffers::default(),
             servers: Mutex::default(),
             escrow: Mutex::default(),
             suspects: Mutex::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod adapter;
 pub mod budget;
+pub mod buffers;
 pub mod catalog;
 pub mod feeds;
 pub mod fleet;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,5 +1,7 @@
 //! Connections to upstreams and to the store.
 
+mod guard;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +16,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use guard::{Guarded, HeadLimit};
+
 /// Time that sent data may stay unacknowledged before the connection is closed; slightly shorter
 /// than the shortest interruption after which a VM counts as in contact again.
 const USER_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -27,6 +31,10 @@
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum number of bytes read until a response head is complete: interim responses, the head, and
+/// the part of the body that arrives with it.
+const MAX_BYTES_BEFORE_BODY: usize = 4 * MAX_HEAD_BYTES;
+
 /// Sets `TCP_NODELAY`, keepalive and the user timeout, so that a dead connection is detected.
 ///
 /// # Errors
@@ -59,6 +67,7 @@
 pub struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    head_limit: HeadLimit,
     idle_since: Instant,
     idle_limit: Option<Duration>,
 }
@@ -76,10 +85,11 @@
             Ok(Err(error)) => return Err(LinkError::NotSent(format!("{address}: {error}"))),
             Err(_) => return Err(LinkError::NotSent(format!("{address}: connect timed out"))),
         };
+        let head_limit = HeadLimit::open();
         let builder = &mut http1::Builder::new();
         let builder = builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) = builder
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Guarded::open(stream, head_limit.clone())))
             .await
             .map_err(|error| LinkError::NotSent(format!("{address}: {error}")))?;
         let driver = tokio::spawn(async move {
@@ -90,6 +100,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            head_limit,
             idle_since: Instant::now(),
             idle_limit: None,
         })
@@ -107,18 +118,18 @@
         if let Err(error) = self.sender.ready().await {
             return Err(LinkError::NotSent(error.to_string()));
         }
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| {
-                let unsent = error.take_message().is_some();
-                let error = error.into_error().to_string();
-                if unsent {
-                    LinkError::NotSent(error)
-                } else {
-                    LinkError::Broke(error)
-                }
-            })
+        self.head_limit.set(MAX_BYTES_BEFORE_BODY);
+        let response = self.sender.try_send_request(request).await;
+        self.head_limit.clear();
+        response.map_err(|mut error| {
+            let unsent = error.take_message().is_some();
+            let error = error.into_error().to_string();
+            if unsent {
+                LinkError::NotSent(error)
+            } else {
+                LinkError::Broke(error)
+            }
+        })
     }
 
     /// Waits up to `limit` until the connection can carry another request; returns false if it
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -2,20 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use fescue_core::{Refusal, Tokens};
 use fescue_policy::retry::Failure;
 use http::{Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use crate::job::{Job, OpenResponse, whole_response};
 use crate::reply::ResponseBody;
 
-/// The largest response body that is buffered; a larger one fails the attempt.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
-
 /// The time-out of an attempt of an idempotent request, as a multiple of the route's target. The
 /// last attempt may take until the deadline.
 const TARGETS_PER_ATTEMPT: u32 = 2;
@@ -68,7 +62,7 @@
     } = opened;
     let (head, body) = response.into_parts();
     let server = slot.server();
-    let body = match timeout_at(limit, collect(body)).await {
+    let body = match timeout_at(limit, job.gateway.buffers.collect(body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             tracing::info!(request = job.call.id, error, "can't read the response body");
@@ -96,18 +90,3 @@
     job.finish(head.status, &server.entry.id, "answered", Tokens::ZERO);
     Ok(whole_response(&head, body))
 }
-
-async fn collect(mut body: Incoming) -> Result<Bytes, String> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if bytes.len() + data.len() > MAX_RESPONSE_BYTES {
-            return Err(format!("the answer is over {MAX_RESPONSE_BYTES} bytes"));
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes.freeze())
-}
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -12,7 +12,7 @@
 }
 
 /// The largest event, in bytes; a larger one fails the stream.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Buffers bytes and splits them into complete events.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -49,6 +49,10 @@
 
 impl Source {
     async fn next(&mut self, limit: Instant) -> Result<Item, Failure> {
+        // Events that are always available would never let the time-out below expire.
+        if Instant::now() >= limit {
+            return Err(Failure::TimedOut);
+        }
         loop {
             if let Some(event) = self.splitter.next_event() {
                 return Ok(Item::Event(event));
@@ -177,9 +181,13 @@
     } = opened;
     let (head, body) = response.into_parts();
     if !head.status.is_success() {
-        let body = timeout_at(limit, body.collect()).await;
+        let body = timeout_at(limit, job.gateway.buffers.collect(body)).await;
         let body = body.map_err(|_| Failure::TimedOut)?;
-        let body = body.map_err(|_| Failure::MidAnswer)?.to_bytes();
+        let body = body.map_err(|error| {
+            tracing::info!(request = job.call.id, error, "can't read the response body");
+            record_failure(job, &slot, Failure::MidAnswer);
+            Failure::MidAnswer
+        })?;
         let server = slot.server();
         server.recycle(link);
         job.finish(head.status, &server.entry.id, "answered", usage.consumed());
@@ -235,9 +243,14 @@
         reservation.map_or(Tokens::ZERO, Reservation::consumed)
     }
 
+    /// Returns whether the request may still get an event: an upstream must not send more than the
+    /// output that the request asked for, which is all that is reserved for it.
+    fn covers_event(&self, job: &Job) -> bool {
+        self.reservation.is_none() || event_tokens(job) == 0 || self.consumed() < job.call.bound()
+    }
+
     fn count_event(&mut self, job: &Job) {
-        let tokens = job.service.engine.as_ref();
-        let tokens = tokens.map_or(0, |engine| engine.event_tokens);
+        let tokens = event_tokens(job);
         if let Some(reservation) = &mut self.reservation {
             reservation.consume(Tokens::new(tokens));
         }
@@ -245,6 +258,12 @@
     }
 }
 
+/// Returns the number of tokens in one event.
+fn event_tokens(job: &Job) -> u64 {
+    let engine = job.service.engine.as_ref();
+    engine.map_or(0, |engine| engine.event_tokens)
+}
+
 /// Relays a stream to its caller, resuming it at other upstreams when it breaks.
 struct Relay {
     job: Job,
@@ -306,6 +325,9 @@
                         server.recycle(source.link);
                         return Ok(server.entry.id.clone());
                     }
+                    Item::Event(_) if !self.usage.covers_event(&self.job) => {
+                        break Failure::MidAnswer;
+                    }
                     Item::Event(event) => self.forward(event).await,
                 }
                 let limit = next_event_limit(&self.job);
