router: bound the answers of upstreams without end

What callers saw: a chat completion got more tokens than it asked for and paid for, 52,225 events for 5; a collected answer of anything but JSON was returned as complete with an empty text.

Cause: the relay counted delivered tokens and compared them with nothing; the collector took any event that is no JSON for the end of the answer. Events were searched from their start with each frame; interim responses had no limit but the request's time-out of two minutes.

Change: an answer fails at more tokens than were asked for and at an event that is no JSON object, only [DONE] ends it, a collected text has a limit, interim responses too. Events use the gateway's splitter.

Before and after: chat_delivers_no_more_than_was_asked_for failed with 52,225 events; answers_without_end_fail_within_bounded_memory failed with a complete empty answer, and with interim responses it did not end in 75 s; both pass.

--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -242,7 +242,7 @@
         };
         self.report_start();
         let limit = board.settings.limits.request_timeout;
-        let relayed = relay::relay(reply, progress, &self.sender);
+        let relayed = relay::relay(reply, self.chat.max_tokens, progress, &self.sender);
         let relayed = tokio::time::timeout(limit, relayed).await;
         relayed.unwrap_or(Outcome::Failed(Failure::TimedOut))
     }
@@ -367,19 +367,28 @@
     ([kind], Body::from_stream(pieces)).into_response()
 }
 
+/// The largest text of a collected answer.
+const MAX_COLLECTED_BYTES: usize = 4 << 20;
+
 /// Collects all events into one JSON response.
 async fn collect_response(mut receiver: mpsc::Receiver<Piece>) -> Result<Response, Refusal> {
     let (mut text, mut usage, mut ended) = (String::new(), Value::Null, false);
     while let Some(Piece::Event(data)) = receiver.recv().await {
-        let Ok(value) = serde_json::from_slice::<Value>(&data) else {
+        if data.as_ref() == relay::DONE {
             ended = true;
             continue;
+        }
+        let Ok(value) = serde_json::from_slice::<Value>(&data) else {
+            break;
         };
         if value.get("error").is_some() {
             break;
         }
         let content = &value["choices"][0]["delta"]["content"];
         text.push_str(content.as_str().unwrap_or_default());
+        if text.len() > MAX_COLLECTED_BYTES {
+            break;
+        }
         if let Some(found) = value.get("usage") {
             usage = found.clone();
         }
--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -8,7 +8,7 @@
 use crate::upstream::{Events, Reply};
 
 /// The data of the event that ends an answer.
-const DONE: &[u8] = b"[DONE]";
+pub(super) const DONE: &[u8] = b"[DONE]";
 
 /// A part of the answer on its way to the caller.
 #[derive(Clone, Debug)]
@@ -46,9 +46,11 @@
     Failed(Failure),
 }
 
-/// Forwards the events of one attempt, and holds back those that end the answer.
+/// Forwards the events of one attempt, and holds back those that end the answer. An answer of more
+/// than `max_tokens`, all attempts together, fails, since nothing is reserved for it.
 pub(super) async fn relay(
     reply: Reply,
+    max_tokens: u64,
     progress: &mut Progress,
     caller: &mpsc::Sender<Piece>,
 ) -> Outcome {
@@ -72,6 +74,10 @@
             progress.final_events.push(data);
             continue;
         }
+        // Anything but a JSON object is no part of an answer.
+        if progress.delivered >= max_tokens || !data.starts_with(b"{") {
+            return Outcome::Failed(Failure::MidAnswer);
+        }
         progress.delivered += 1;
         if caller.send(Piece::Event(data)).await.is_err() {
             return Outcome::Disconnected;
--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -4,6 +4,8 @@
 //! request or attempt is rejected.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +17,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::sync::Notify;
 
 /// The time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -25,6 +28,9 @@
 /// The size limit of a plain service's answer or a load report.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
+/// The limit on interim responses before an answer.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// The HTTP client for calls to upstreams; clones share its connections.
 #[derive(Clone)]
 pub struct Client {
@@ -75,9 +81,14 @@
     ///
     /// Returns the failure, which tells whether the upstream may have run the request.
     pub async fn call(&self, call: &Call<'_>) -> Result<Reply, Failure> {
-        let request = build(call).ok_or(Failure::NotSent)?;
+        let mut request = build(call).ok_or(Failure::NotSent)?;
+        let interim = InterimLimit::watch(&mut request);
         let sent = tokio::time::timeout(call.timeout, self.http.request(request));
-        let reply = match sent.await {
+        let sent = tokio::select! {
+            sent = sent => sent,
+            () = interim.exceeded() => return Err(Failure::Broke),
+        };
+        let reply = match sent {
             Err(_) => return Err(Failure::TimedOut),
             Ok(Err(error)) if error.is_connect() => return Err(Failure::NotSent),
             Ok(Err(_)) => return Err(Failure::Broke),
@@ -111,6 +122,31 @@
     }
 }
 
+/// A limit on the interim responses that precede an answer. They are dropped one by one, so no limit on
+/// the size of a response head ends them.
+struct InterimLimit {
+    exceeded: Arc<Notify>,
+}
+
+impl InterimLimit {
+    /// Counts the interim responses to a request.
+    fn watch<B>(request: &mut Request<B>) -> Self {
+        let exceeded = Arc::new(Notify::new());
+        let (notify, count) = (Arc::clone(&exceeded), AtomicUsize::new(0));
+        hyper::ext::on_informational(request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+                notify.notify_one();
+            }
+        });
+        Self { exceeded }
+    }
+
+    /// Waits until there are too many.
+    async fn exceeded(&self) {
+        self.exceeded.notified().await;
+    }
+}
+
 /// Reads the whole body of an answer.
 ///
 /// # Errors
--- a/crates/router/src/upstream/events.rs
+++ b/crates/router/src/upstream/events.rs
@@ -1,27 +1,22 @@
 //! Splits an engine's answer into server-sent events.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
+use fescue_gateway::sse::Splitter;
 use fescue_policy::retry::Failure;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// The size limit of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
-/// The separator between two events.
-const SEPARATOR: &[u8] = b"\n\n";
-
 /// The server-sent events of one answer, in the order of arrival.
 pub struct Events {
     body: Incoming,
-    buffer: BytesMut,
+    splitter: Splitter,
 }
 
 impl Events {
     /// Creates a reader of the events in `body`.
     pub fn open(body: Incoming) -> Self {
-        let buffer = BytesMut::new();
-        Self { body, buffer }
+        let splitter = Splitter::default();
+        Self { body, splitter }
     }
 
     /// Returns the data of the next event, or `None` at the end of the answer.
@@ -31,10 +26,10 @@
     /// Returns [`Failure::MidAnswer`] when the answer is truncated or an event is too large.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
-            if let Some(event) = self.split() {
-                return Ok(Some(event));
+            if let Some(event) = self.splitter.next_event() {
+                return Ok(Some(data(&event.bytes)));
             }
-            if self.buffer.len() > MAX_EVENT_BYTES {
+            if self.splitter.exceeds_limit() {
                 return Err(Failure::MidAnswer);
             }
             match self.body.frame().await {
@@ -42,21 +37,17 @@
                 Some(Err(_)) => return Err(Failure::MidAnswer),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
+                        self.splitter.push(&data);
                     }
                 }
             }
         }
     }
+}
 
-    fn split(&mut self) -> Option<Bytes> {
-        let end = self
-            .buffer
-            .windows(SEPARATOR.len())
-            .position(|w| w == SEPARATOR)?;
-        let event = self.buffer.split_to(end).freeze();
-        self.buffer.advance(SEPARATOR.len());
-        let data = event.strip_prefix(b"data:").map(<[u8]>::trim_ascii_start);
-        Some(data.map_or_else(|| event.clone(), |data| event.slice_ref(data)))
-    }
+/// Returns the data of an event that has only a data field, and other events whole.
+fn data(event: &Bytes) -> Bytes {
+    let event = event.slice_ref(event.trim_ascii_end());
+    let data = event.strip_prefix(b"data:").map(<[u8]>::trim_ascii_start);
+    data.map_or_else(|| event.clone(), |data| event.slice_ref(data))
 }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod money_stories;
 mod process_admin;
 mod process_calls;
+mod process_floods;
 mod process_input;
 mod process_service;
 mod process_stops;
--- a/crates/router/tests/suite/site/process.rs
+++ b/crates/router/tests/suite/site/process.rs
@@ -71,6 +71,11 @@
         kill_process(id.expect("a process id"), signal).expect("the signal is sent");
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until the process has exited.
     pub async fn wait(&mut self) -> ExitStatus {
         loop {
