store, platform: limit the body of a store's response

Cause: the clients of both stores read responses without a limit on their size, so a store in trouble could exhaust the memory of every router.

Change: a body over 16 MiB, far above the largest page, fails the call.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use fescue_core::{VmId, record};
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client as HyperClient;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -34,6 +34,9 @@
     }
 }
 
+/// Maximum size of a response body, well above that of the largest page.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// A client of the table service, object store and VM list at one address.
 pub struct Client {
     http: HyperClient<HttpConnector, Full<Bytes>>,
@@ -75,7 +78,9 @@
         let answer = tokio::time::timeout(self.timeout, async {
             let response = self.http.request(request).await.map_err(transport_error)?;
             let status = response.status();
-            let body = response.into_body().collect().await;
+            let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
+                .collect()
+                .await;
             let body = body.map_err(|e| TableError::Lost(e.to_string()))?;
             Ok((status, body.to_bytes()))
         });
