gateway: refuse requests after draining at a planned stop

What callers saw: a request sent long after SIGTERM was taken, passed on to an upstream, and its connection closed without an answer (LOST).

Cause: after draining, the process spends up to a second on returning its tokens, much of it when the store is away. It still admitted requests then, as its announced end lay later, and exited without waiting for them.

Change: the announced end is now that of draining, so later requests are refused as not run, and the exit waits for open requests within the grace period. The stop line says whether any was left.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -104,6 +104,8 @@
     }
     let exit = Instant::now() + gateway.tuning().grace.saturating_sub(EXIT_MARGIN / 2);
     stop(&gateway, &drain).await;
+    // Requests that still arrive are refused: the process exits before they could end.
+    gateway.set_end(Instant::now());
     handover::pass_on(&gateway, Holdings::Received).await;
     let end = (exit - handover::SHUTDOWN_TIMEOUT).min(Instant::now() + RETURN_TIMEOUT);
     goal.send_replace(budget::Goal::Stop);
@@ -114,7 +116,8 @@
         tracing::warn!("tokens not returned to the store; passing them on to other routers");
         handover::pass_on(&gateway, Holdings::Allowed).await;
     }
-    tracing::info!(given, "stopped");
+    let open = timeout_at(exit, wait_until_idle(&gateway)).await.is_err();
+    tracing::info!(given, open, "stopped");
     Ok(())
 }
 
@@ -143,13 +146,18 @@
     gateway.handle(Event::Emptied);
 }
 
+/// Waits until no request is open.
+async fn wait_until_idle(gateway: &Gateway) {
+    let mut running = gateway.running.subscribe();
+    // Cannot fail, since the sender lives as long as the gateway. The returned guard locks the value and
+    // is dropped at once: a request that ends on this thread would deadlock on it.
+    drop(running.wait_for(|running| *running == 0).await);
+}
+
 /// Waits until no request is open and no new connections arrive.
 async fn wait_until_drained(gateway: &Gateway) {
-    let mut running = gateway.running.subscribe();
     loop {
-        // Cannot fail, since the sender lives as long as the gateway. The returned guard locks the
-        // value and is dropped at once: a request that ends on this thread would deadlock on it.
-        drop(running.wait_for(|running| *running == 0).await);
+        wait_until_idle(gateway).await;
         let quiet = gateway.last_connection() + QUIET_PERIOD;
         if Instant::now() >= quiet {
             return;
--- a/crates/router/tests/suite/gateway.rs
+++ b/crates/router/tests/suite/gateway.rs
@@ -572,3 +572,33 @@
     let seen = send(gateway.ports.callers, &site.ask(Kind::Read, "after")).await;
     assert!(matches!(seen, Outcome::Served { .. }), "{seen:?}");
 }
+
+/// Guards against requests that are lost at a planned stop without a store: while the process still tried
+/// to return its tokens after draining, it took requests that it could not finish before it exited.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_takes_no_request_after_draining() {
+    let site = Site::open("late", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    // The license of the team keeps the process trying.
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Draft, "early")).await;
+    assert!(matches!(seen, Outcome::Served { .. }), "{seen:?}");
+    site.store.store.set_faults(store::Faults {
+        busy: true,
+        ..store::Faults::default()
+    });
+    for ledger in &site.ledgers {
+        ledger.set_faults(Faults {
+            silent: true,
+            ..Faults::default()
+        });
+    }
+    gateway.signal(Signal::TERM);
+    while gateway.log_lines("message", "draining ended").is_empty() {
+        assert_eq!(gateway.exit_status(), None, "draining ends before the exit");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Record, "late")).await;
+    assert_eq!(status(&seen), Some(503), "{seen:?}");
+    let exit = gateway.await_exit(EXIT_TIMEOUT).await;
+    assert!(exit.is_some_and(|exit| exit.success()), "{exit:?}");
+}
