--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -112,7 +112,7 @@
 /// The time without a renewal after which a license's rate applies, beyond the renewal interval.
 /// Processes that are killed together restart within this time, so that their successors count nothing
 /// as spent for it.
-const RATE_DELAY: Duration = Duration::from_millis(2700);
+const RATE_DELAY: Duration = Duration::from_millis(2200);
 
 /// The limit on writes per second by all routers together: a third of what one partition of the store
 /// accepts.
