handover: probe a home only when there is a surplus to return

Cause: a router that held unspent tokens of a team probed its home every 100 ms whenever the home had been silent for 300 ms, also with nothing to return. Seen while reading the change.

Change: the surplus is computed without taking it, and only a surplus leads to a probe.

Before and after: return_surplus_sends_nothing_without_one failed with a probe received, and passes.

--- a/crates/gateway/src/handover/returns.rs
+++ b/crates/gateway/src/handover/returns.rs
@@ -63,7 +63,8 @@
 /// Returns surplus tokens and repeats unacknowledged returns.
 pub(super) fn run_round(gateway: &Gateway) {
     let clock = gateway.table.clock().unwrap_or_default();
-    for team in teams(gateway, |balance| balance.has_received()) {
+    // Only a surplus is worth a probe of the home.
+    for team in teams(gateway, |b| !b.surplus(true, clock).is_zero()) {
         let home = gateway.peers.lock().homes(&team).first().copied();
         if let Some(Home::Peer(home)) = home {
             send_to_first(gateway, &team, &[home], |gateway| {
--- a/crates/gateway/tests/suite/handover.rs
+++ b/crates/gateway/tests/suite/handover.rs
@@ -274,6 +274,32 @@
     assert_eq!(available(&pair.asker, &pair.team), 6_000);
 }
 
+/// A router may hold tokens of many teams that it neither needs to return nor spends. Probing their homes
+/// all the time would cost each VM of a large fleet more than its control traffic may take.
+#[tokio::test]
+async fn return_surplus_sends_nothing_without_one() {
+    let pair = Pair::start().await;
+    let (home, address) = socket().await;
+    let peer = Peer::new("vm-1", address, pair.home.incarnation);
+    pair.asker.peers.lock().set(vec![peer], true);
+    {
+        let mut escrow = pair.asker.escrow.lock();
+        let balance = escrow.balance(&pair.team);
+        for _ in 0..50 {
+            balance.record_demand(Tokens::new(2_000));
+            balance.observe(Duration::from_millis(100));
+        }
+        balance.receive(Tokens::new(6_000));
+    }
+    let mut buffer = [0; 512];
+    let received = timeout(Duration::from_millis(400), home.recv(&mut buffer)).await;
+    let message = received.map(|length| {
+        let length = length.expect("a message");
+        String::from_utf8_lossy(&buffer[..length]).into_owned()
+    });
+    assert!(message.is_err(), "{message:?}");
+}
+
 /// A datagram may be duplicated by the network; its tokens count once.
 #[tokio::test]
 async fn ask_answer_that_comes_twice_counts_once() {
--- a/crates/policy/src/escrow/balance.rs
+++ b/crates/policy/src/escrow/balance.rs
@@ -178,21 +178,24 @@
         !refill.is_zero() && self.available(clock) < refill
     }
 
-    /// Removes received tokens that aren't needed, to return them to the home; all of them unless
-    /// `keep` is set.
-    ///
-    /// They count as spent here, so that they can't be spent twice if the home's answer is lost.
-    pub fn take_surplus(&mut self, keep: bool, clock: Duration) -> Tokens {
+    /// Returns the received tokens that aren't needed; all of them unless `keep` is set.
+    pub fn surplus(&self, keep: bool, clock: Duration) -> Tokens {
         let (limit, kept) = match keep {
             true => (self.at_rate(RETURN_ABOVE), self.at_rate(RETURN_KEEP)),
             false => (Tokens::ZERO, Tokens::ZERO),
         };
-        let received = self.unspent_received();
         let available = self.available(clock);
         if available <= limit || !self.waiting.is_zero() {
             return Tokens::ZERO;
         }
-        let surplus = available.saturating_sub(kept).min(received);
+        available.saturating_sub(kept).min(self.unspent_received())
+    }
+
+    /// Removes the surplus, to return it to the home.
+    ///
+    /// It counts as spent here, so that it can't be spent twice if the home's answer is lost.
+    pub fn take_surplus(&mut self, keep: bool, clock: Duration) -> Tokens {
+        let surplus = self.surplus(keep, clock);
         self.spent = self.spent.saturating_add(surplus);
         surplus
     }
