gateway: give up on a connection after 16 interim responses

Cause: 256 KiB of interim responses are some 10,000 responses a connection; a debug build parses them slowly, and 48 requests with their repeats exceed the callers' deadlines.

Change: after 16 of them the next read from the connection fails.

Conclusion: the work that such an upstream causes is bounded by one read.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,6 +3,7 @@
 mod guard;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -31,6 +32,9 @@
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Maximum number of bytes read until a response head is complete: interim responses, the head, and
 /// the part of the body that arrives with it.
 const MAX_BYTES_BEFORE_BODY: usize = 4 * MAX_HEAD_BYTES;
@@ -113,12 +117,18 @@
     /// [`LinkError::NotSent`] only if no byte of the request was sent, else [`LinkError::Broke`].
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, LinkError> {
         if let Err(error) = self.sender.ready().await {
             return Err(LinkError::NotSent(error.to_string()));
         }
         self.head_limit.set(MAX_BYTES_BEFORE_BODY);
+        let (limit, interim) = (self.head_limit.clone(), AtomicUsize::new(0));
+        hyper::ext::on_informational(&mut request, move |_| {
+            if interim.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+                limit.set(0);
+            }
+        });
         let response = self.sender.try_send_request(request).await;
         self.head_limit.clear();
         response.map_err(|mut error| {
