--- /dev/null
+++ b/crates/gateway/src/crash_check.rs
@@ -0,0 +1,76 @@
+//! Finds out whether an upstream crashed when connections to it broke.
+//!
+//! A connection also breaks for reasons of its own. An upstream has crashed if nothing listens on its
+//! address any more, though it is listed and not about to leave. The check starts at once: later
+//! requests may not reach the upstream before it has been restarted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+use crate::link::LinkError;
+use crate::upstreams::Server;
+
+/// Delay before the second connection attempt: a dying process may still accept the first one.
+const RECHECK_DELAY: Duration = Duration::from_millis(200);
+
+/// Starts a check of an upstream, after [`Server::record_disconnect`] has returned true.
+pub fn spawn(gateway: &Arc<Gateway>, server: &Arc<Server>) {
+    let (gateway, server) = (Arc::clone(gateway), Arc::clone(server));
+    tokio::spawn(async move {
+        let mut refused = is_refused(&server).await;
+        if refused == Some(false) {
+            sleep(RECHECK_DELAY).await;
+            refused = is_refused(&server).await;
+        }
+        if refused == Some(true) {
+            record(&gateway, &server);
+        } else {
+            let broken = server.take_broken().len();
+            let upstream = server.entry.id.as_str();
+            tracing::info!(
+                upstream,
+                broken,
+                ?refused,
+                "connections broke without a crash"
+            );
+        }
+    });
+}
+
+/// Returns whether the upstream refuses connections; `None` if it gives no answer.
+async fn is_refused(server: &Arc<Server>) -> Option<bool> {
+    match server.reconnect().await {
+        Ok(link) => {
+            server.recycle(link);
+            Some(false)
+        }
+        Err(LinkError::Refused(_)) => Some(true),
+        Err(_) => None,
+    }
+}
+
+/// Records that an upstream refused a connection, as a crash of the requests that were open there.
+/// An upstream that is about to leave, or that is no longer listed, ended for another reason.
+pub fn record(gateway: &Gateway, server: &Server) {
+    let broken = server.take_broken();
+    let listed = {
+        let servers = gateway.servers.lock();
+        let current = servers.get(&server.entry.id);
+        current.is_some_and(|current| current.is_usable())
+    };
+    if !listed {
+        let upstream = server.entry.id.as_str();
+        tracing::info!(
+            upstream,
+            broken = broken.len(),
+            "connections broke as the upstream left"
+        );
+        return;
+    }
+    for request in &broken {
+        gateway.record_crash(&server.entry.id, request);
+    }
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,4 +1,4 @@
-//! Shares router heartbeats and requests that crashed upstreams through the store.
+//! Shares router heartbeats and evidence against requests that crashed upstreams through the store.
 //!
 //! One scan reads both. At 650 routers a scan is two pages; see
 //! [docs/design/platform.md](../../../docs/design/platform.md).
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use fescue_core::{Incarnation, record};
+use fescue_policy::quarantine::{Evidence, RETENTION};
 use fescue_store::table::{Put, Row, Table, TableError, Transaction, scan_all};
 use tokio::time::{Instant, sleep};
 
@@ -21,7 +22,7 @@
 /// Key prefix of the heartbeat rows.
 const ROUTER_PREFIX: &str = "fleet/router-";
 
-/// Key prefix of the rows of requests that crashed upstreams.
+/// Key prefix of the rows of requests and parts of prompts that crashed upstreams.
 const SUSPECT_PREFIX: &str = "fleet/suspect-";
 
 /// Interval between scans.
@@ -49,9 +50,13 @@
         address: SocketAddr,
     }
 
-    /// The number of upstreams that a request crashed.
+    /// The evidence against a request or a part of a prompt.
     struct Crashes {
-        crashes: u32,
+        #[serde(flatten)]
+        evidence: Evidence,
+        /// When the evidence last changed, by the store's clock; absent in rows of older routers.
+        #[serde(default)]
+        at_ms: Option<u64>,
     }
 }
 
@@ -88,11 +93,7 @@
         table: &dyn Table,
         scans: u32,
     ) -> Result<(), TableError> {
-        let suspects = {
-            let mut suspects = gateway.new_suspects.lock();
-            let count = suspects.len().min(MAX_SUSPECTS);
-            suspects.drain(..count).collect::<Vec<_>>()
-        };
+        let suspects = gateway.outbox.take_for_store(MAX_SUSPECTS);
         if scans == 0 {
             // After a restart, the rows of the others and the old row of this router are present.
             let rows = scan_all(table, FLEET_PREFIX).await?;
@@ -102,16 +103,17 @@
         if scans.is_multiple_of(SCANS_PER_HEARTBEAT) || !suspects.is_empty() {
             let written = self.write(gateway, table, &suspects).await;
             if written.is_err() {
-                gateway.new_suspects.lock().extend(suspects);
+                gateway.outbox.return_to_store(suspects);
             }
             written?;
         }
         let rows = scan_all(table, FLEET_PREFIX).await?;
         self.update(gateway, &rows);
-        Ok(())
+        self.delete_expired(table, gateway, &rows).await
     }
 
-    /// Writes this router's heartbeat and the crash counts of new suspects.
+    /// Writes this router's heartbeat and the evidence against new suspects. The row of a suspect that
+    /// was cleared is deleted.
     async fn write(
         &mut self,
         gateway: &Gateway,
@@ -127,17 +129,48 @@
         let mut transaction = Transaction::default();
         let key = format!("{ROUTER_PREFIX}{}", gateway.settings.vm);
         transaction.put.push(Put::encode(key, &heartbeat));
-        let known: HashMap<u64, u32> = gateway.suspects.lock().iter().collect();
-        for fingerprint in suspects {
-            let crashes = known.get(fingerprint).copied().unwrap_or(1);
-            let key = format!("{SUSPECT_PREFIX}{fingerprint:016x}");
-            transaction.put.push(Put::encode(key, &Crashes { crashes }));
+        let at_ms = table.clock().map(|clock| clock.as_millis() as u64);
+        for print in suspects {
+            let evidence = gateway.suspects.lock().evidence(*print);
+            let key = format!("{SUSPECT_PREFIX}{print:016x}");
+            if evidence.strength() == 0 {
+                transaction.delete.push(key);
+            } else {
+                transaction
+                    .put
+                    .push(Put::encode(key, &Crashes { evidence, at_ms }));
+            }
         }
         table.transact(&transaction).await.map(|_| ())
     }
 
+    /// Deletes the rows of evidence that is too old to count.
+    async fn delete_expired(
+        &self,
+        table: &dyn Table,
+        gateway: &Gateway,
+        rows: &[Row],
+    ) -> Result<(), TableError> {
+        gateway.suspects.lock().expire(gateway.evidence_clock());
+        let mut transaction = Transaction::default();
+        let expired = rows.iter().filter(|row| {
+            row.key.starts_with(SUSPECT_PREFIX)
+                && suspect_age(row, table).is_some_and(|age| age >= RETENTION)
+        });
+        for row in expired.take(MAX_SUSPECTS) {
+            transaction.remove(row);
+        }
+        if transaction.delete.is_empty() {
+            return Ok(());
+        }
+        let deleted = table.transact(&transaction).await?;
+        let rows = transaction.delete.len();
+        tracing::info!(rows, ?deleted, "deleted old evidence of crashes");
+        Ok(())
+    }
+
     fn update(&mut self, gateway: &Gateway, rows: &[Row]) {
-        let now = gateway.now();
+        let now = gateway.evidence_clock();
         let mut peers = Vec::new();
         for row in rows {
             if let Some(name) = row.key.strip_prefix(ROUTER_PREFIX) {
@@ -158,11 +191,17 @@
                 }
             }
             if let Some(name) = row.key.strip_prefix(SUSPECT_PREFIX)
-                && let Ok(fingerprint) = u64::from_str_radix(name, 16)
+                && let Ok(print) = u64::from_str_radix(name, 16)
             {
                 match row.decode::<Crashes>() {
-                    Ok(Some(Crashes { crashes })) => {
-                        gateway.suspects.lock().merge(fingerprint, crashes, now);
+                    Ok(Some(Crashes { evidence, .. })) => {
+                        let age = suspect_age(row, &*gateway.table).unwrap_or_default();
+                        if age < RETENTION {
+                            gateway
+                                .suspects
+                                .lock()
+                                .merge(print, evidence, now.saturating_sub(age));
+                        }
                     }
                     Ok(None) => {}
                     Err(error) => tracing::warn!(%error, "suspect row is malformed; ignored"),
@@ -187,3 +226,10 @@
         }
     }
 }
+
+/// Returns the age of the evidence in a row; `None` if the row or the store doesn't tell.
+fn suspect_age(row: &Row, table: &dyn Table) -> Option<Duration> {
+    let at = row.decode::<Crashes>().ok()??.at_ms?;
+    let age = table.clock()?.saturating_sub(Duration::from_millis(at));
+    Some(age)
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,9 +10,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use fescue_core::{Incarnation, ServiceId, TeamId, Tokens};
+use fescue_core::{Incarnation, ServiceId, TeamId, Tokens, UpstreamId};
 use fescue_policy::escrow::{Escrow, Reserved};
-use fescue_policy::quarantine::{Standing, Suspects};
+use fescue_policy::quarantine::{Attempt, Prints, RETENTION, Standing, Suspects};
 use fescue_policy::window::{Budget, RetryWindow};
 use fescue_store::table::Table;
 use parking_lot::Mutex;
@@ -22,13 +22,14 @@
 use crate::adapter::HeaderCodec;
 use crate::buffers::Buffers;
 use crate::catalog::Catalog;
+use crate::gossip::Outbox;
 use crate::handover::Handover;
 use crate::lifecycle::{Event, Lifecycle, Phase};
 use crate::link_use::LinkUsage;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::{Settings, Tuning};
-use crate::upstreams::Servers;
+use crate::upstreams::{BrokenRequest, Servers};
 
 /// The greatest age of the list of upstreams at a router whose link is full. It is well under the
 /// time within which a leaving upstream must get no new work.
@@ -53,10 +54,10 @@
     pub servers: Mutex<Servers>,
     /// The tokens of each team that this router may spend.
     pub escrow: Mutex<Escrow>,
-    /// Fingerprints of requests that may have crashed upstreams.
+    /// The requests and parts of prompts that may have crashed upstreams.
     pub suspects: Mutex<Suspects>,
-    /// Fingerprints of recent crashes that are still to be published to the other routers.
-    pub new_suspects: Mutex<Vec<u64>>,
+    /// What this router has found out and the others may not know yet.
+    pub outbox: Outbox,
     /// The other live routers.
     pub peers: Mutex<Peers>,
     /// The use of the VM's network link.
@@ -108,7 +109,7 @@
             servers: Mutex::default(),
             escrow: Mutex::default(),
             suspects: Mutex::default(),
-            new_suspects: Mutex::default(),
+            outbox: Outbox::default(),
             peers,
             link,
             handover: Mutex::default(),
@@ -134,6 +135,12 @@
         self.start.elapsed()
     }
 
+    /// Returns the time by which evidence of crashes is dated. It is ahead of [`Self::now`], so that
+    /// evidence from before the start of the process can be dated.
+    pub fn evidence_clock(&self) -> Duration {
+        self.now() + RETENTION
+    }
+
     /// Returns the settings that may change at run time.
     pub fn tuning(&self) -> Tuning {
         *self.tuning.lock()
@@ -217,16 +224,45 @@
         }
     }
 
-    /// Returns the quarantine state of a request's fingerprint.
-    pub fn standing(&self, fingerprint: u64) -> Standing {
-        self.suspects.lock().standing(fingerprint, self.now())
+    /// Returns the quarantine state of a request.
+    pub fn standing(&self, prints: &Prints) -> Standing {
+        self.suspects.lock().standing(prints, self.evidence_clock())
     }
 
     /// Records that an upstream crashed while a request was open there.
-    pub fn record_crash(&self, fingerprint: u64) {
-        let crashes = self.suspects.lock().record_crash(fingerprint, self.now());
-        tracing::warn!(%fingerprint, crashes, "upstream crashed while this request was open");
-        self.new_suspects.lock().push(fingerprint);
+    pub fn record_crash(&self, upstream: &UpstreamId, broken: &BrokenRequest) {
+        let (changed, crashes) = {
+            let mut suspects = self.suspects.lock();
+            let changed =
+                suspects.record_crash(&broken.attempt, broken.begun, self.evidence_clock());
+            let crashes: Vec<_> = changed
+                .iter()
+                .map(|print| (*print, suspects.evidence(*print).strength()))
+                .collect();
+            (changed, crashes)
+        };
+        tracing::warn!(
+            request = broken.id,
+            upstream = upstream.as_str(),
+            begun = broken.begun,
+            ?crashes,
+            "upstream crashed while this request was open"
+        );
+        self.outbox.push(changed);
+    }
+
+    /// Records that an answer has begun, which clears the parts of its prompt.
+    pub fn record_begun(&self, attempt: &Attempt) {
+        let now = self.evidence_clock();
+        let changed = self.suspects.lock().record_begun(attempt, now);
+        self.outbox.push(changed);
+    }
+
+    /// Records that an answer is complete, which clears the request and the parts of its prompt.
+    pub fn record_complete(&self, attempt: &Attempt) {
+        let now = self.evidence_clock();
+        let changed = self.suspects.lock().record_complete(attempt, now);
+        self.outbox.push(changed);
     }
 
     /// Sets the time at which the process will exit.
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -21,6 +21,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::gateway::Gateway;
+use crate::gossip::{self, Findings};
 use asks::Asks;
 pub use asks::{Outcome, RETRY_INTERVAL, ask};
 use returns::Returns;
@@ -32,7 +33,8 @@
 /// Maximum age of account data that a home reports to other routers.
 const ACCOUNT_MAX_AGE: Duration = Duration::from_secs(2);
 
-const MAX_MESSAGE_BYTES: usize = 512;
+/// Maximum size of a datagram, which fits into one packet.
+const MAX_MESSAGE_BYTES: usize = 1400;
 
 /// Maximum number of messages that wait to be sent.
 const QUEUE_CAPACITY: usize = 256;
@@ -55,6 +57,8 @@
     Probe(Probe),
     /// Acknowledges a [`Return`] or a [`Probe`].
     Taken(Taken),
+    /// Shares what a router has found out about requests and upstreams; it has no answer.
+    Findings(Findings),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -158,6 +162,8 @@
     let mut buffer = [0; MAX_MESSAGE_BYTES];
     let mut ticks = interval(REFILL_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut exchanges = interval(gossip::EXCHANGE_INTERVAL);
+    exchanges.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             Some((peer, message)) = queue.recv() => send(&socket, peer, &message).await,
@@ -172,6 +178,16 @@
                     sleep(RETRY_INTERVAL).await;
                 }
             },
+            () = gateway.outbox.changed() => {
+                for (peer, findings) in gossip::new_findings(&gateway) {
+                    send(&socket, peer, &Message::Findings(findings)).await;
+                }
+            }
+            _ = exchanges.tick() => {
+                for (peer, findings) in gossip::all_findings(&gateway) {
+                    send(&socket, peer, &Message::Findings(findings)).await;
+                }
+            }
             _ = ticks.tick() => {
                 asks::refill(&gateway);
                 returns::run_round(&gateway);
@@ -212,6 +228,10 @@
                 from: gateway.incarnation,
             }))
         }
+        Ok(Message::Findings(findings)) => {
+            gossip::receive(gateway, &findings);
+            None
+        }
         Ok(Message::Taken(accepted)) => {
             gateway.peers.lock().mark_responsive(peer, accepted.from);
             gateway.handover.lock().returns.close(accepted.number);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fescue_core::outcome::Reason;
 use fescue_core::{Execution, Refusal, TeamId, Tokens, UpstreamId};
+use fescue_policy::quarantine::{Attempt, Prints, Standing};
 use fescue_policy::retry::{Failure, may_retry};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header, response};
@@ -14,11 +15,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::adapter::ForwardContext;
+use crate::crash_check;
 use crate::gateway::Gateway;
 use crate::link::{Link, LinkError};
 use crate::model::{Call, Route, Service};
 use crate::reply::{ResponseBody, full_body};
-use crate::upstreams::{Requirements, Slot};
+use crate::upstreams::{BrokenRequest, Requirements, Server, Slot};
 
 /// The longest wait for an upstream to become available before the first attempt.
 const MAX_UPSTREAM_WAIT: Duration = Duration::from_secs(1);
@@ -59,8 +61,10 @@
     pub tried: Vec<UpstreamId>,
     /// The number of attempts in which the upstream may have run the request.
     pub sends: u32,
-    /// A hash of the request, equal when its caller sends it again.
-    pub fingerprint: u64,
+    /// The hashes of the request and of its prompt, equal when its caller sends it again.
+    pub prints: Prints,
+    /// What was known of these hashes when the current attempt was sent.
+    pub attempt: Attempt,
 }
 
 /// An upstream's response whose head has arrived.
@@ -89,6 +93,7 @@
         };
         let id = slot.server().entry.id.clone();
         self.tried.push(id.clone());
+        self.attempt = self.gateway.suspects.lock().start(&self.prints);
         let result = self.exchange(slot, last_event, limit).await;
         let outcome = match &result {
             Ok(_) => "answered",
@@ -121,7 +126,7 @@
             prefix: self.call.shared_prefix(),
             input: self.call.input.get(),
             tried: &self.tried,
-            tie_breaker: self.fingerprint,
+            tie_breaker: self.prints.request,
         };
         let near = self.gateway.settings.data_centre.as_str();
         let servers = self.gateway.servers.lock();
@@ -153,8 +158,8 @@
             Ok(Err(error)) => {
                 tracing::info!(request = self.call.id, upstream = %server.entry.id, %error, "can't connect to the upstream");
                 server.record_outcome(self.gateway.now(), false);
-                for fingerprint in server.take_crash_suspects() {
-                    self.gateway.record_crash(fingerprint);
+                if matches!(error, LinkError::Refused(_)) {
+                    crash_check::record(&self.gateway, &server);
                 }
                 return Err(Failure::NotSent);
             }
@@ -169,10 +174,10 @@
                 server.record_outcome(now, false);
                 return Err(Failure::TimedOut);
             }
-            Ok(Err(LinkError::NotSent(error))) => {
+            Ok(Err(error @ (LinkError::NotSent(_) | LinkError::Refused(_)))) => {
                 tracing::info!(
                     request = self.call.id,
-                    error,
+                    %error,
                     "request not sent: the connection failed first"
                 );
                 self.sends -= 1;
@@ -185,7 +190,7 @@
                     "connection broke before the response"
                 );
                 server.record_outcome(now, false);
-                server.record_disconnect(self.fingerprint);
+                self.record_disconnect(&server, false);
                 return Err(Failure::Broke);
             }
             Ok(Ok(response)) => response,
@@ -226,6 +231,20 @@
         })
     }
 
+    /// Records that the connection to an upstream broke, and checks whether the upstream has crashed.
+    /// `begun` tells whether the answer had begun.
+    pub fn record_disconnect(&self, server: &Arc<Server>, begun: bool) {
+        let broken = BrokenRequest {
+            id: self.call.id.clone(),
+            attempt: self.attempt.clone(),
+            begun,
+            at: Instant::now(),
+        };
+        if server.record_disconnect(broken) {
+            crash_check::spawn(&self.gateway, server);
+        }
+    }
+
     fn request(&self, slot: &Slot, last_event: Option<&str>) -> Request<Full<Bytes>> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let context = ForwardContext {
@@ -260,6 +279,14 @@
         if self.tried.len() >= MAX_UNSENT_ATTEMPTS + self.route.attempts as usize {
             return false;
         }
+        if let Standing::Quarantined(print) = self.gateway.standing(&self.prints) {
+            tracing::info!(
+                request = self.call.id,
+                print,
+                "quarantined since it was sent; not sent again"
+            );
+            return false;
+        }
         match failure {
             Failure::NotSent => !self.tried.is_empty(),
             _ => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A gateway accepts any request whose host and path match a route, and forwards it to an upstream
 //! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`fleet`],
-//! [`handover`], [`link_use`] and [`reload`] are the controllers; [`gateway`] holds the state that
+//! [`gossip`], [`handover`], [`link_use`] and [`reload`] are the controllers; [`gateway`] holds the state that
 //! they share, and [`adapter`] the traits that connect a platform. The design is in
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
@@ -10,9 +10,11 @@
 pub mod budget;
 pub mod buffers;
 pub mod catalog;
+pub mod crash_check;
 pub mod feeds;
 pub mod fleet;
 pub mod gateway;
+pub mod gossip;
 pub mod handover;
 pub mod ingress;
 pub mod job;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -58,6 +58,9 @@
 /// The cause for which a request got no response on a link.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
+    /// No process listens on the upstream's address.
+    #[error("connection refused by {0}")]
+    Refused(SocketAddr),
     /// No byte of the request was sent, so it can be retried safely.
     #[error("not sent: {0}")]
     NotSent(String),
@@ -81,11 +84,15 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError::NotSent`] if the connection is not established within `limit`.
+    /// [`LinkError::Refused`] or [`LinkError::NotSent`] if the connection is not established within
+    /// `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, LinkError> {
         let connected = timeout(limit, connect(address)).await;
         let stream = match connected {
             Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Err(LinkError::Refused(address));
+            }
             Ok(Err(error)) => return Err(LinkError::NotSent(format!("{address}: {error}"))),
             Err(_) => return Err(LinkError::NotSent(format!("{address}: connect timed out"))),
         };
@@ -114,7 +121,8 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError::NotSent`] only if no byte of the request was sent, else [`LinkError::Broke`].
+    /// [`LinkError::NotSent`] only if no byte of the request was sent, otherwise
+    /// [`LinkError::Broke`].
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -178,6 +178,12 @@
         self.input.saturating_add(self.output)
     }
 
+    /// Returns the hashes of the parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.hash).collect()
+    }
+
     /// Returns the hash of the last part of the prompt that other requests may share: the one before
     /// the last part.
     pub fn shared_prefix(&self) -> Option<u64> {
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -10,7 +10,7 @@
 use fescue_core::outcome::Reason;
 use fescue_core::{Refusal, TeamId, Tokens, hash};
 use fescue_policy::escrow::Reserved;
-use fescue_policy::quarantine::Standing;
+use fescue_policy::quarantine::{Attempt, Prints, Standing};
 use http::request::Parts;
 use http::{Request, Response, header};
 use http_body_util::BodyExt;
@@ -163,10 +163,18 @@
             Refusal::not_run(Reason::Overload, message).with_retry_after(RETRY_AFTER_LINK_FULL)
         );
     }
-    let fingerprint = fingerprint(&head, name.as_ref(), &body);
-    if gateway.standing(fingerprint) == Standing::Quarantined {
+    let prints = Prints {
+        request: fingerprint(&head, name.as_ref(), &body),
+        parts: call.shared_parts(),
+    };
+    if let Standing::Quarantined(print) = gateway.standing(&prints) {
         // Refused with a server error: the request itself is well formed.
-        let message = "upstreams crashed with this request; it is not run again";
+        let message = match print == prints.request {
+            true => "upstreams crashed with this request; it is not run again".to_owned(),
+            false => {
+                format!("upstreams crashed with prompts that hold part {print}; it is not run")
+            }
+        };
         return Err(Refusal::not_run(Reason::NoUpstream, message));
     }
     let service = find_service(&route, &catalog, &call)?.clone();
@@ -201,7 +209,8 @@
         deadline: until,
         tried: Vec::new(),
         sends: 0,
-        fingerprint,
+        prints,
+        attempt: Attempt::default(),
     };
     Ok((job, reservation))
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -67,13 +67,14 @@
         Ok(Err(error)) => {
             tracing::info!(request = job.call.id, error, "can't read the response body");
             server.record_outcome(job.gateway.now(), false);
-            server.record_disconnect(job.fingerprint);
+            job.record_disconnect(server, true);
             return Err(Failure::Broke);
         }
         Err(_) => return Err(Failure::TimedOut),
     };
     server.record_outcome(job.gateway.now(), true);
     server.recycle(link);
+    job.gateway.record_complete(&job.attempt);
     let failed = head.status >= StatusCode::INTERNAL_SERVER_ERROR;
     if failed && job.may_continue(Failure::Broke) {
         tracing::info!(
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,6 +30,10 @@
 /// The number of events that are buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 16;
 
+/// How long after its first event a stream must go on before the parts of its prompt count as
+/// harmless: an upstream may crash just after it has begun to answer.
+const SETTLED_AFTER: Duration = Duration::from_millis(100);
+
 /// How long after its deadline an unfinished stream is aborted.
 const DEADLINE_GRACE: Duration = Duration::from_millis(150);
 
@@ -39,6 +43,10 @@
     splitter: Splitter,
     link: Link,
     slot: Slot,
+    /// When the first event arrived.
+    begun: Option<Instant>,
+    /// Whether the answer has gone on long enough to clear the parts of its prompt.
+    settled: bool,
 }
 
 /// The next item of a stream.
@@ -55,6 +63,7 @@
         }
         loop {
             if let Some(event) = self.splitter.next_event() {
+                self.begun.get_or_insert_with(Instant::now);
                 return Ok(Item::Event(event));
             }
             if self.splitter.exceeds_limit() {
@@ -78,6 +87,17 @@
     }
 }
 
+impl Source {
+    /// Clears the parts of the prompt once the answer has gone on for some time.
+    fn settle(&mut self, job: &Job) {
+        let begun = self.begun.is_some_and(|at| at.elapsed() >= SETTLED_AFTER);
+        if begun && !self.settled {
+            self.settled = true;
+            job.gateway.record_begun(&job.attempt);
+        }
+    }
+}
+
 /// An open stream whose first item has been read.
 struct OpenStream {
     head: response::Parts,
@@ -185,7 +205,7 @@
         let body = body.map_err(|_| Failure::TimedOut)?;
         let body = body.map_err(|error| {
             tracing::info!(request = job.call.id, error, "can't read the response body");
-            record_failure(job, &slot, Failure::MidAnswer);
+            record_failure(job, &slot, Failure::MidAnswer, false);
             Failure::MidAnswer
         })?;
         let server = slot.server();
@@ -199,9 +219,11 @@
         splitter: Splitter::default(),
         link,
         slot,
+        begun: None,
+        settled: false,
     };
     let first = source.next(limit).await;
-    let first = first.inspect_err(|failure| record_failure(job, &source.slot, *failure))?;
+    let first = first.inspect_err(|failure| record_failure(job, &source.slot, *failure, false))?;
     source.slot.mark_prompt_read();
     source.slot.server().record_outcome(job.gateway.now(), true);
     Ok(Start::Stream(Box::new(OpenStream {
@@ -211,15 +233,21 @@
     })))
 }
 
-/// Records with the upstream that a stream failed there.
-fn record_failure(job: &Job, slot: &Slot, failure: Failure) {
+/// Records with the upstream that a stream failed there. `begun` tells whether its answer had begun.
+fn record_failure(job: &Job, slot: &Slot, failure: Failure, begun: bool) {
     let server = slot.server();
     server.record_outcome(job.gateway.now(), false);
     if failure != Failure::TimedOut {
-        server.record_disconnect(job.fingerprint);
+        job.record_disconnect(server, begun);
     }
     let upstream = server.entry.id.as_str();
-    tracing::info!(request = job.call.id, upstream, ?failure, "stream failed");
+    tracing::info!(
+        request = job.call.id,
+        upstream,
+        ?failure,
+        begun,
+        "stream failed"
+    );
 }
 
 /// Counts the tokens that a request consumes.
@@ -321,6 +349,7 @@
             let failure = loop {
                 match next {
                     Item::End => {
+                        self.job.gateway.record_complete(&self.job.attempt);
                         let server = Arc::clone(source.slot.server());
                         server.recycle(source.link);
                         return Ok(server.entry.id.clone());
@@ -328,7 +357,10 @@
                     Item::Event(_) if !self.usage.covers_event(&self.job) => {
                         break Failure::MidAnswer;
                     }
-                    Item::Event(event) => self.forward(event).await,
+                    Item::Event(event) => {
+                        source.settle(&self.job);
+                        self.forward(event).await;
+                    }
                 }
                 let limit = next_event_limit(&self.job);
                 next = match source.next(limit).await {
@@ -336,7 +368,7 @@
                     Err(failure) => break failure,
                 };
             };
-            record_failure(&self.job, &source.slot, failure);
+            record_failure(&self.job, &source.slot, failure, source.settled);
             drop(source);
             if Instant::now() >= self.job.deadline || !self.job.may_continue(failure) {
                 return Err(failure);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -7,6 +7,7 @@
 use fescue_core::{ServiceId, UpstreamId, hash};
 use fescue_policy::affinity::{self, Candidate};
 use fescue_policy::limit::Breaker;
+use fescue_policy::quarantine::Attempt;
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -40,8 +41,10 @@
     /// Prompt tokens of requests whose first event has not arrived.
     unread: u64,
     breaker: Breaker,
-    /// Fingerprints of requests whose connection broke, with the time of the break.
-    broken: Vec<(u64, Instant)>,
+    /// The requests whose connection broke lately.
+    broken: Vec<BrokenRequest>,
+    /// Whether a check for a crash is in progress.
+    checking: bool,
     /// The end of the grace period of an upstream that is no longer listed; `None` while listed.
     grace_end: Option<Instant>,
 }
@@ -58,6 +61,22 @@
 /// The time within which a broken request and a refused connection count as one crash.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
+/// The largest number of broken requests that are kept per upstream.
+const MAX_BROKEN: usize = 256;
+
+/// A request whose connection broke before its answer was complete.
+#[derive(Clone, Debug)]
+pub struct BrokenRequest {
+    /// The id of the request.
+    pub id: String,
+    /// The attempt that failed.
+    pub attempt: Attempt,
+    /// Whether the answer had begun.
+    pub begun: bool,
+    /// When the connection broke.
+    pub at: Instant,
+}
+
 impl Server {
     fn open(entry: Upstream) -> Self {
         let member = hash::digest64(entry.id.as_str().as_bytes());
@@ -88,6 +107,15 @@
                 }
             }
         }
+        self.reconnect().await
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// When no connection is established within the time-out.
+    pub async fn reconnect(&self) -> Result<Link, LinkError> {
         Link::open(self.entry.address, CONNECT_TIMEOUT).await
     }
 
@@ -109,20 +137,24 @@
         self.state.lock().breaker.record(now, good);
     }
 
-    /// Records that a request's connection broke, and drops the idle connections.
-    pub fn record_disconnect(&self, fingerprint: u64) {
+    /// Records that a request's connection broke, and drops the idle connections. Returns whether
+    /// the upstream has to be checked for a crash, which ends with [`Self::take_broken`].
+    pub fn record_disconnect(&self, broken: BrokenRequest) -> bool {
         let mut state = self.state.lock();
         state.idle.clear();
-        state.broken.push((fingerprint, Instant::now()));
+        if state.broken.len() < MAX_BROKEN {
+            state.broken.push(broken);
+        }
+        !std::mem::replace(&mut state.checking, true)
     }
 
-    /// Takes the fingerprints of requests whose connection broke within the crash window. The
-    /// caller has just found that the upstream no longer accepts connections.
-    pub fn take_crash_suspects(&self) -> Vec<u64> {
+    /// Takes the requests whose connection broke within the crash window.
+    pub fn take_broken(&self) -> Vec<BrokenRequest> {
         let mut state = self.state.lock();
-        let broken = std::mem::take(&mut state.broken);
-        let recent = broken.iter().filter(|(_, at)| at.elapsed() < CRASH_WINDOW);
-        recent.map(|(fingerprint, _)| *fingerprint).collect()
+        state.checking = false;
+        let mut broken = std::mem::take(&mut state.broken);
+        broken.retain(|request| request.at.elapsed() < CRASH_WINDOW);
+        broken
     }
 
     /// Returns the number of this router's requests that are running there.
@@ -149,7 +181,8 @@
         grace_end.is_none_or(|until| Instant::now() < until)
     }
 
-    fn is_usable(&self) -> bool {
+    /// Returns whether the upstream may get new requests.
+    pub fn is_usable(&self) -> bool {
         !self.entry.draining && self.is_listed()
     }
 
@@ -253,6 +286,11 @@
         expired
     }
 
+    /// Returns an upstream by its id.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Arc<Server>> {
+        self.table.get(id)
+    }
+
     /// Returns the number of upstreams, including those in their grace period.
     pub fn len(&self) -> usize {
         self.table.len()
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -2,13 +2,15 @@
 
 use std::fmt::Display;
 use std::str::FromStr;
+use std::time::Duration;
 
 use fescue_core::{Incarnation, Tokens, UpstreamId};
 use fescue_policy::bills::{Bill, BillId};
 use fescue_policy::ledger::Parts;
+use fescue_policy::quarantine::Evidence;
 use fescue_policy::witness::{Noted, Notes};
 
-use crate::{BillCopies, Heartbeat, PeerError, TokenRequest, wire};
+use crate::{BillCopies, Heartbeat, PeerError, SuspectReport, TokenRequest, wire};
 
 /// Parses a textual id in a message.
 ///
@@ -27,9 +29,11 @@
 impl From<Heartbeat> for wire::Greeting {
     fn from(heartbeat: Heartbeat) -> Self {
         let suspects = heartbeat.suspects.into_iter();
-        let suspect = |(fingerprint, crashes)| wire::Suspect {
-            fingerprint,
-            crashes,
+        let suspect = |suspect: SuspectReport| wire::Suspect {
+            fingerprint: suspect.print,
+            crashes: suspect.evidence.crashes,
+            refuted: suspect.evidence.refuted,
+            age_ms: u64::try_from(suspect.age.as_millis()).unwrap_or(u64::MAX),
         };
         let upstreams = heartbeat.leaving_upstreams.iter();
         let leaving = |(upstream, incarnation): &(UpstreamId, u64)| wire::Leaving {
@@ -49,6 +53,17 @@
     }
 }
 
+fn suspect_report(suspect: &wire::Suspect) -> SuspectReport {
+    SuspectReport {
+        print: suspect.fingerprint,
+        evidence: Evidence {
+            crashes: suspect.crashes,
+            refuted: suspect.refuted,
+        },
+        age: Duration::from_millis(suspect.age_ms),
+    }
+}
+
 impl TryFrom<wire::Greeting> for Heartbeat {
     type Error = PeerError;
 
@@ -63,7 +78,7 @@
             rules: message.rules,
             leaving: message.leaving,
             leaving_upstreams: upstreams.map(leaving).collect::<Result<_, _>>()?,
-            suspects: suspects.map(|s| (s.fingerprint, s.crashes)).collect(),
+            suspects: suspects.map(suspect_report).collect(),
             closed: message.closed.into_iter().map(Incarnation::new).collect(),
         })
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,10 +9,13 @@
 mod convert;
 pub mod server;
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use fescue_core::{BudgetId, DataCentreId, Incarnation, Tokens, UpstreamId, VmId};
 use fescue_policy::bills::Bill;
 use fescue_policy::ledger::Parts;
+use fescue_policy::quarantine::Evidence;
 use fescue_policy::witness::{Noted, Notes, Report};
 
 /// The messages, client and server generated from `proto/peer.proto`.
@@ -50,12 +53,23 @@
     pub leaving: bool,
     /// The upstreams that the sender knows to be leaving, each with the upstream's incarnation.
     pub leaving_upstreams: Vec<(UpstreamId, u64)>,
-    /// The fingerprints of requests that crashed upstreams, each with its number of crashes.
-    pub suspects: Vec<(u64, u32)>,
+    /// The latest evidence against requests and parts of prompts that crashed upstreams.
+    pub suspects: Vec<SuspectReport>,
     /// The router incarnations whose allowances are closed.
     pub closed: Vec<Incarnation>,
 }
 
+/// The evidence against one request or part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectReport {
+    /// The hash of the request or part.
+    pub print: u64,
+    /// The evidence.
+    pub evidence: Evidence,
+    /// How long ago the evidence last changed.
+    pub age: Duration,
+}
+
 /// A request for a peer's unspent tokens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TokenRequest {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -1,20 +1,34 @@
-//! Detection of requests that crash the upstreams that run them.
+//! Detection of requests, and of parts of prompts, that crash the upstreams that run them.
 //!
-//! A request is identified by a fingerprint of its content, because callers repeat it under new ids.
-//! An upstream may crash with several requests open, of which most are harmless. Therefore a request
-//! is a suspect after one crash, and quarantined after two, unless it completed in between. See [docs/design/service.md](../../../docs/design/service.md).
+//! A request is identified by a hash of its content, because callers repeat it under new ids. The parts
+//! of its prompt that other requests may share are identified by hashes of their own: one of them may
+//! crash upstreams in whatever request it comes.
+//!
+//! An upstream may crash with several requests open, of which most are harmless, and for reasons of its
+//! own. Evidence therefore counts in generations: a crash adds one only to what was known when
+//! the request was sent, so upstreams that crash at the same time count once, and an answer refutes
+//! all that was known when its request was sent. Both numbers only grow, so routers exchange them in
+//! any order. See [docs/design/service.md](../../../docs/design/service.md).
 
 use std::time::Duration;
 
+use fescue_core::record;
 use indexmap::IndexMap;
 
-/// The number of crashes after which a request is quarantined.
-pub const QUARANTINE_AFTER: u32 = 2;
+/// The generations of crashes after which a request is quarantined.
+pub const REQUEST_CRASHES: u32 = 2;
+
+/// The generations of crashes after which a part of a prompt is quarantined. It is higher than
+/// [`REQUEST_CRASHES`], since a wrong decision would affect many requests.
+pub const PART_CRASHES: u32 = 3;
 
-/// The time for which a crash counts against a request.
-const RETENTION: Duration = Duration::from_secs(3600);
+/// The time for which a crash counts against a request, and evidence is kept.
+pub const RETENTION: Duration = Duration::from_secs(3600);
 
-/// The largest number of fingerprints that are kept.
+/// The time for which a crash counts against a part. One more crash quarantines the part again.
+const PART_RETENTION: Duration = Duration::from_secs(600);
+
+/// The largest number of hashes that are kept.
 const MAX_RECORDS: usize = 4096;
 
 /// The status of a request with regard to crashes.
@@ -24,66 +38,182 @@
     Clear,
     /// The request was running during one crash; it may run again only in isolation.
     Suspect,
-    /// The request was running during two crashes; it isn't run again.
-    Quarantined,
+    /// The request with this hash, or a part with this hash, is not run again.
+    Quarantined(u64),
+}
+
+/// The hashes that identify a request to the quarantine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prints {
+    /// The hash of the whole request.
+    pub request: u64,
+    /// The hashes of the parts of its prompt that other requests may share.
+    pub parts: Vec<u64>,
+}
+
+record! {
+    /// What is known about one hash.
+    #[derive(Copy, Default)]
+    pub struct Evidence {
+        /// The generation of the latest crash.
+        pub crashes: u32,
+        /// The latest generation that an answer has refuted.
+        #[serde(default)]
+        pub refuted: u32,
+    }
+}
+
+impl Evidence {
+    /// Returns the number of generations that no answer has refuted.
+    pub fn strength(self) -> u32 {
+        self.crashes.saturating_sub(self.refuted)
+    }
+
+    fn merge(self, other: Self) -> Self {
+        Self {
+            crashes: self.crashes.max(other.crashes),
+            refuted: self.refuted.max(other.refuted),
+        }
+    }
+}
+
+/// One attempt to run a request, with the generations known when it was sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Attempt {
+    request: (u64, u32),
+    parts: Vec<(u64, u32)>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Record {
-    crashes: u32,
+    evidence: Evidence,
+    /// When the evidence last changed.
     at: Duration,
 }
 
-/// The requests known to one router to have been running during crashes.
+/// The evidence known to one router.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     records: IndexMap<u64, Record>,
 }
 
 impl Suspects {
-    /// Returns the status of the request with a fingerprint.
-    pub fn standing(&self, fingerprint: u64, now: Duration) -> Standing {
-        let record = self.records.get(&fingerprint);
-        let fresh = record.filter(|r| now.saturating_sub(r.at) < RETENTION);
-        match fresh.map_or(0, |r| r.crashes) {
-            0 => Standing::Clear,
-            crashes if crashes < QUARANTINE_AFTER => Standing::Suspect,
-            _ => Standing::Quarantined,
+    /// Returns the status of a request.
+    pub fn standing(&self, prints: &Prints, now: Duration) -> Standing {
+        let request = self.strength(prints.request, RETENTION, now);
+        if request >= REQUEST_CRASHES {
+            return Standing::Quarantined(prints.request);
+        }
+        let mut parts = prints.parts.iter();
+        let deadly = parts.find(|part| self.strength(**part, PART_RETENTION, now) >= PART_CRASHES);
+        match deadly {
+            Some(part) => Standing::Quarantined(*part),
+            None if request > 0 => Standing::Suspect,
+            None => Standing::Clear,
         }
     }
 
-    /// Records that an upstream crashed while it ran this request; returns the crashes so far.
-    pub fn record_crash(&mut self, fingerprint: u64, now: Duration) -> u32 {
-        let crashes = self.records.get(&fingerprint).map_or(0, |r| r.crashes) + 1;
-        self.set(fingerprint, crashes, now);
-        crashes
+    /// Starts an attempt to run a request.
+    pub fn start(&self, prints: &Prints) -> Attempt {
+        let known = |print: &u64| {
+            let evidence = self.evidence(*print);
+            (*print, evidence.crashes.max(evidence.refuted))
+        };
+        Attempt {
+            request: known(&prints.request),
+            parts: prints.parts.iter().map(known).collect(),
+        }
     }
 
-    /// Takes over a peer's number of crashes if it is higher.
-    pub fn merge(&mut self, fingerprint: u64, crashes: u32, now: Duration) {
-        let known = self.records.get(&fingerprint).map_or(0, |r| r.crashes);
-        if crashes > known {
-            self.set(fingerprint, crashes, now);
-        }
+    /// Records that the upstream of an attempt crashed; returns the hashes whose evidence has changed.
+    ///
+    /// Parts count only if the answer had not `begun`: a part that crashes upstreams does so when they
+    /// begin to answer.
+    pub fn record_crash(&mut self, attempt: &Attempt, begun: bool, now: Duration) -> Vec<u64> {
+        let parts = attempt.parts.iter().filter(|_| !begun);
+        let implicated = std::iter::once(&attempt.request).chain(parts);
+        let changed = implicated.filter(|(print, known)| {
+            let crash = Evidence {
+                crashes: known.saturating_add(1),
+                refuted: 0,
+            };
+            self.merge(*print, crash, now)
+        });
+        changed.map(|(print, _)| *print).collect()
     }
 
-    /// Records that a request completed, which clears it if it is only a suspect.
-    pub fn clear(&mut self, fingerprint: u64) {
-        let suspect = |r: &Record| r.crashes < QUARANTINE_AFTER;
-        if self.records.get(&fingerprint).is_some_and(suspect) {
-            self.records.shift_remove(&fingerprint);
-        }
+    /// Records that the answer of an attempt has begun, which refutes what was known against the
+    /// parts; returns the hashes whose evidence has changed.
+    pub fn record_begun(&mut self, attempt: &Attempt, now: Duration) -> Vec<u64> {
+        let refuted = attempt.parts.iter().filter(|(print, known)| {
+            let refuted = Evidence {
+                crashes: 0,
+                refuted: *known,
+            };
+            *known > 0 && self.merge(*print, refuted, now)
+        });
+        refuted.map(|(print, _)| *print).collect()
     }
 
-    /// Iterates over the fingerprints and their numbers of crashes, to be sent to peers.
-    pub fn iter(&self) -> impl Iterator<Item = (u64, u32)> {
-        self.records.iter().map(|(print, r)| (*print, r.crashes))
+    /// Records that the answer of an attempt is complete, which also clears the request if it is only
+    /// a suspect; returns the hashes whose evidence has changed.
+    pub fn record_complete(&mut self, attempt: &Attempt, now: Duration) -> Vec<u64> {
+        let mut changed = self.record_begun(attempt, now);
+        let (request, known) = attempt.request;
+        let refuted = Evidence {
+            crashes: 0,
+            refuted: known,
+        };
+        let suspect = self.evidence(request).strength() < REQUEST_CRASHES;
+        if known > 0 && suspect && self.merge(request, refuted, now) {
+            changed.push(request);
+        }
+        changed
     }
 
-    fn set(&mut self, fingerprint: u64, crashes: u32, at: Duration) {
-        self.records.insert(fingerprint, Record { crashes, at });
+    /// Takes over evidence that last changed at `at`; returns whether it is new.
+    pub fn merge(&mut self, print: u64, evidence: Evidence, at: Duration) -> bool {
+        let known = self.evidence(print);
+        let merged = known.merge(evidence);
+        if merged == known {
+            return false;
+        }
+        self.records.insert(
+            print,
+            Record {
+                evidence: merged,
+                at,
+            },
+        );
         if self.records.len() > MAX_RECORDS {
-            self.records.shift_remove_index(0);
+            let weak = |record: &Record| record.evidence.strength() < REQUEST_CRASHES;
+            let oldest = self.records.values().position(weak);
+            self.records.shift_remove_index(oldest.unwrap_or(0));
         }
+        true
+    }
+
+    /// Removes evidence that is older than an hour.
+    pub fn expire(&mut self, now: Duration) {
+        let fresh = |record: &Record| now.saturating_sub(record.at) < RETENTION;
+        self.records.retain(|_, record| fresh(record));
+    }
+
+    /// Returns the evidence about a hash.
+    pub fn evidence(&self, print: u64) -> Evidence {
+        let record = self.records.get(&print);
+        record.map_or(Evidence::default(), |record| record.evidence)
+    }
+
+    /// Iterates over the hashes with their evidence and the time of its last change.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, Evidence, Duration)> {
+        let records = self.records.iter();
+        records.map(|(print, record)| (*print, record.evidence, record.at))
+    }
+
+    fn strength(&self, print: u64, retention: Duration, now: Duration) -> u32 {
+        let record = self.records.get(&print);
+        let fresh = record.filter(|record| now.saturating_sub(record.at) < retention);
+        fresh.map_or(0, |record| record.evidence.strength())
     }
 }
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -12,7 +12,7 @@
 use fescue_core::outcome::Reason;
 use fescue_core::{Execution, Refusal, Tokens, UpstreamId};
 use fescue_policy::ledger::Reservation;
-use fescue_policy::quarantine::Standing;
+use fescue_policy::quarantine::{Attempt, Standing};
 use fescue_policy::retry::{self, Failure};
 use futures_util::StreamExt;
 use serde_json::{Value, json};
@@ -106,7 +106,7 @@
 
 /// Refuses an id that was used with another body.
 async fn check_id(front: &Front, caller: &Caller, chat: &ChatRequest) -> Result<(), Refusal> {
-    let (team, id, body) = (&caller.team.name, &caller.request, chat.fingerprint);
+    let (team, id, body) = (&caller.team.name, &caller.request, chat.prints.request);
     let before = front.board.recent.lock().record(team, id, body);
     let before = match before {
         Some(other) => Some(other),
@@ -120,13 +120,19 @@
 }
 
 fn check_quarantine(front: &Front, chat: &ChatRequest) -> Result<(), Refusal> {
-    let now = front.board.now();
-    let standing = front.board.suspects.lock().standing(chat.fingerprint, now);
-    if standing == Standing::Quarantined {
-        let message = "this request ran before and brought upstreams down";
-        return Err(Refusal::ran(Reason::Quarantined, message));
+    let now = front.board.evidence_clock();
+    let standing = front.board.suspects.lock().standing(&chat.prints, now);
+    match standing {
+        Standing::Quarantined(print) if print == chat.prints.request => {
+            let message = "this request ran before and brought upstreams down";
+            Err(Refusal::ran(Reason::Quarantined, message))
+        }
+        Standing::Quarantined(_) => {
+            let message = "requests that hold one of these messages brought upstreams down";
+            Err(Refusal::not_run(Reason::Quarantined, message))
+        }
+        Standing::Clear | Standing::Suspect => Ok(()),
     }
-    Ok(())
 }
 
 /// A request that was admitted and is being run.
@@ -150,7 +156,7 @@
         let item = RequestDetails {
             budget: self.caller.budget.clone(),
             request: self.caller.request.clone(),
-            body: self.chat.fingerprint,
+            body: self.chat.prints.request,
         };
         if used.is_zero() {
             self.front.board.ledger.lock().release(reservation);
@@ -168,15 +174,15 @@
         let mut attempt = 1;
         loop {
             let mut permit = self.place().await?;
-            let outcome = self.attempt(&permit, attempt, progress).await;
+            let sent = self.front.board.suspects.lock().start(&self.chat.prints);
+            let before = progress.delivered;
+            let outcome = self.attempt(&permit, attempt, &sent, progress).await;
             let failure = match outcome {
                 Outcome::Complete => {
                     permit.record_outcome(true);
-                    self.front
-                        .board
-                        .suspects
-                        .lock()
-                        .clear(self.chat.fingerprint);
+                    let board = &self.front.board;
+                    let mut suspects = board.suspects.lock();
+                    suspects.record_complete(&sent, board.evidence_clock());
                     return Ok(());
                 }
                 Outcome::Disconnected => return Ok(()),
@@ -186,7 +192,8 @@
             self.failed.push(permit.upstream.name.clone());
             let started = permit.started();
             drop(permit);
-            self.record_crash(failure, started).await;
+            let begun = progress.delivered > before;
+            self.record_crash(failure, started, &sent, begun).await;
             self.log_failure(failure, attempt, progress.delivered);
             attempt += 1;
             let again = retry::may_retry(failure, true, true) && attempt <= MAX_ATTEMPTS;
@@ -199,8 +206,9 @@
 
     async fn place(&self) -> Result<Permit, Refusal> {
         let board = &self.front.board;
-        let fingerprint = self.chat.fingerprint;
-        let standing = board.suspects.lock().standing(fingerprint, board.now());
+        let prints = &self.chat.prints;
+        let now = board.evidence_clock();
+        let standing = board.suspects.lock().standing(prints, now);
         let job = Job {
             request: self.caller.request.clone(),
             team: self.caller.team.name.clone(),
@@ -210,14 +218,20 @@
             prompt: self.chat.prompt,
             prefix: self.chat.prefix,
             failed: self.failed.clone(),
-            isolate: (standing == Standing::Suspect).then_some(fingerprint),
+            isolate: (standing == Standing::Suspect).then_some(prints.request),
             max_wait: None,
         };
         let pool = Pool::Model(self.chat.model.clone());
         dispatch::acquire(board, &pool, job).await
     }
 
-    async fn attempt(&mut self, permit: &Permit, attempt: u32, progress: &mut Progress) -> Outcome {
+    async fn attempt(
+        &mut self,
+        permit: &Permit,
+        attempt: u32,
+        sent: &Attempt,
+        progress: &mut Progress,
+    ) -> Outcome {
         let board = Arc::clone(&self.front.board);
         let call = Call {
             address: permit.upstream.address,
@@ -242,7 +256,20 @@
         };
         self.report_start();
         let limit = board.settings.limits.request_timeout;
-        let relayed = relay::relay(reply, self.chat.max_tokens, progress, &self.sender);
+        let on_begun = || {
+            let mut suspects = board.suspects.lock();
+            let cleared = suspects.record_begun(sent, board.evidence_clock());
+            if !cleared.is_empty() {
+                self.front.membership_wake.notify_one();
+            }
+        };
+        let relayed = relay::relay(
+            reply,
+            self.chat.max_tokens,
+            progress,
+            &self.sender,
+            on_begun,
+        );
         let relayed = tokio::time::timeout(limit, relayed).await;
         relayed.unwrap_or(Outcome::Failed(Failure::TimedOut))
     }
@@ -264,10 +291,11 @@
         let _disconnected = started.send(Ok(()));
     }
 
-    /// Counts a crash against the request if the upstream went down while it ran.
+    /// Counts a crash against the request if the upstream went down while it ran, and against the parts
+    /// of its prompt unless the answer had `begun`.
     ///
     /// An upstream that was already down when the request was placed is no evidence against it.
-    async fn record_crash(&self, failure: Failure, started: Duration) {
+    async fn record_crash(&self, failure: Failure, started: Duration, sent: &Attempt, begun: bool) {
         let broke = matches!(failure, Failure::Broke | Failure::MidAnswer);
         let Some(last) = self.failed.last().filter(|_| broke) else {
             return;
@@ -278,16 +306,21 @@
         if self.front.client.get(address, "/v1/load").await.is_some() {
             return;
         }
-        let now = board.now();
-        let since = board.upstreams.lock().record_missed_report(last, now);
+        let since = board
+            .upstreams
+            .lock()
+            .record_missed_report(last, board.now());
         if since.is_none_or(|since| started > since) {
             return;
         }
-        let crashes = board
-            .suspects
-            .lock()
-            .record_crash(self.chat.fingerprint, now);
-        tracing::warn!(request = %self.caller.request, upstream = %last, crashes, "upstream went down while running the request; counted as a crash");
+        let crashes: Vec<_> = {
+            let mut suspects = board.suspects.lock();
+            let now = board.evidence_clock();
+            let changed = suspects.record_crash(sent, begun, now).into_iter();
+            let strength = |print| (print, suspects.evidence(print).strength());
+            changed.map(strength).collect()
+        };
+        tracing::warn!(request = %self.caller.request, upstream = %last, ?crashes, begun, "upstream went down while running the request; counted as a crash");
         self.front.membership_wake.notify_one();
     }
 
--- a/crates/router/src/front/intake.rs
+++ b/crates/router/src/front/intake.rs
@@ -5,6 +5,7 @@
 use fescue_core::outcome::Reason;
 use fescue_core::settings::Limits;
 use fescue_core::{ModelId, Refusal, Tokens, hash};
+use fescue_policy::quarantine::Prints;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde_json::{Map, Value};
 
@@ -49,8 +50,9 @@
     pub(super) max_tokens: u64,
     /// The hash of the model and the first [`PREFIX_BYTES`] of the prompt.
     pub(super) prefix: u64,
-    /// The hash of the model and the whole prompt, which identifies repeats of the request.
-    pub(super) fingerprint: u64,
+    /// The hash of the model and the whole prompt, which identifies repeats of the request, and those
+    /// of the messages that other requests may share.
+    pub(super) prints: Prints,
     /// The body that is sent to the upstream.
     pub(super) body: Bytes,
 }
@@ -78,7 +80,10 @@
         };
         let head = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
         let prefix = hash::digest64(&[format!("{model}\n").as_bytes(), head].concat());
-        let fingerprint = hash::digest64(format!("{model}\n{text}").as_bytes());
+        let prints = Prints {
+            request: hash::digest64(format!("{model}\n{text}").as_bytes()),
+            parts: message_hashes(&fields),
+        };
         fields.insert("max_tokens".to_owned(), max_tokens.into());
         fields.insert("stream".to_owned(), true.into());
         let usage = serde_json::json!({"include_usage": true});
@@ -90,7 +95,7 @@
             prompt,
             max_tokens,
             prefix,
-            fingerprint,
+            prints,
             body,
         })
     }
@@ -138,6 +143,19 @@
     Ok(text)
 }
 
+/// Returns the hashes of all messages but the last, which is the request's own.
+fn message_hashes(fields: &Map<String, Value>) -> Vec<u64> {
+    let messages = fields.get("messages").and_then(Value::as_array);
+    let shared = messages.and_then(|messages| messages.split_last());
+    let shared = shared.map_or(&[][..], |(_, shared)| shared);
+    let contents = shared
+        .iter()
+        .filter_map(|message| message.get("content")?.as_str());
+    contents
+        .map(|content| hash::digest64(content.as_bytes()))
+        .collect()
+}
+
 fn estimate_tokens(fields: &Map<String, Value>, text: &str) -> u64 {
     let messages = fields.get("messages").and_then(Value::as_array);
     let messages = messages.map_or(0, Vec::len);
--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -47,13 +47,16 @@
 }
 
 /// Forwards the events of one attempt, and holds back those that end the answer. An answer of more
-/// than `max_tokens`, all attempts together, fails, since nothing is reserved for it.
+/// than `max_tokens`, all attempts together, fails, since nothing is reserved for it. `on_begun` is called
+/// with the first event that is forwarded.
 pub(super) async fn relay(
     reply: Reply,
     max_tokens: u64,
     progress: &mut Progress,
     caller: &mpsc::Sender<Piece>,
+    on_begun: impl FnOnce(),
 ) -> Outcome {
+    let mut on_begun = Some(on_begun);
     let mut events = Events::open(reply.into_body());
     loop {
         let event = tokio::select! {
@@ -79,6 +82,9 @@
             return Outcome::Failed(Failure::MidAnswer);
         }
         progress.delivered += 1;
+        if let Some(on_begun) = on_begun.take() {
+            on_begun();
+        }
         if caller.send(Piece::Event(data)).await.is_err() {
             return Outcome::Disconnected;
         }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_peer::{Heartbeat, PeerApi, client};
+use fescue_peer::{Heartbeat, PeerApi, SuspectReport, client};
+use fescue_policy::quarantine::RETENTION;
 use fescue_store::{Vm, VmList, VmState};
 use futures_util::future::join_all;
 use tokio::sync::Notify;
@@ -18,6 +19,9 @@
 /// upstream.
 const URGENT_FAN_OUT: usize = 16;
 
+/// The number of hashes whose evidence of crashes a heartbeat carries.
+const MAX_SUSPECT_REPORTS: usize = 64;
+
 /// The number of rounds from one read of the platform's list of VMs to the next.
 const ROUNDS_PER_LISTING: u64 = 4;
 
@@ -152,7 +156,7 @@
     // Each lock is released before the next one is acquired.
     let leaving = board.phase() == crate::lifecycle::Phase::Draining;
     let rules = board.rules.lock().version();
-    let suspects = board.suspects.lock().iter().collect();
+    let suspects = latest_suspects(board);
     let leaving_upstreams = board.leaving_upstreams();
     let closed = board.closed.lock().iter().copied().collect();
     Heartbeat {
@@ -167,6 +171,22 @@
     }
 }
 
+/// Returns the evidence of crashes that changed last, the latest first.
+fn latest_suspects(board: &Board) -> Vec<SuspectReport> {
+    let now = board.evidence_clock();
+    let suspects = board.suspects.lock();
+    let report = |(print, evidence, at)| SuspectReport {
+        print,
+        evidence,
+        age: now.saturating_sub(at),
+    };
+    let mut reports: Vec<_> = suspects.iter().map(report).collect();
+    drop(suspects);
+    reports.sort_by_key(|report| report.age);
+    reports.truncate(MAX_SUSPECT_REPORTS);
+    reports
+}
+
 /// Applies the state that a peer reports of itself and of the fleet.
 pub fn apply_heartbeat(board: &Board, heartbeat: &Heartbeat) {
     let now: Duration = board.now();
@@ -180,9 +200,13 @@
         }
     }
     {
+        let now = board.evidence_clock();
         let mut suspects = board.suspects.lock();
-        for (fingerprint, crashes) in &heartbeat.suspects {
-            suspects.merge(*fingerprint, *crashes, now);
+        suspects.expire(now);
+        let fresh = |suspect: &&SuspectReport| suspect.age < RETENTION;
+        for suspect in heartbeat.suspects.iter().filter(fresh) {
+            let at = now.saturating_sub(suspect.age);
+            suspects.merge(suspect.print, suspect.evidence, at);
         }
     }
     {
--- a/crates/router/tests/suite/gateway.rs
+++ b/crates/router/tests/suite/gateway.rs
@@ -29,18 +29,18 @@
 /// Memory of the smallest VM that a router runs on, in bytes.
 pub const SMALLEST_VM_MEMORY: u64 = 160 << 20;
 
-struct Site {
-    store: Server,
-    record: Arc<Mutex<RequestLog>>,
-    engines: Vec<Upstream>,
-    ledgers: Vec<Upstream>,
-    team: Team,
+pub struct Site {
+    pub store: Server,
+    pub record: Arc<Mutex<RequestLog>>,
+    pub engines: Vec<Upstream>,
+    pub ledgers: Vec<Upstream>,
+    pub team: Team,
     folder: PathBuf,
 }
 
 impl Site {
     /// Starts a store, two engines and two ledgers, with one team that has `prepaid` tokens.
-    async fn open(name: &str, prepaid: u64) -> Self {
+    pub async fn open(name: &str, prepaid: u64) -> Self {
         let store = Store::spawn().await.expect("a store");
         let record: Arc<Mutex<RequestLog>> = Arc::default();
         let mut site = Self {
@@ -69,12 +69,12 @@
         site
     }
 
-    fn register(&self, upstream: &Upstream, service: &str, draining: bool) {
+    pub fn register(&self, upstream: &Upstream, service: &str, draining: bool) {
         let entry = upstream_entry(service, upstream.address, 8, draining);
         self.store.store.put("servers", &upstream.id, &entry);
     }
 
-    fn spawn(&self, vm: &str) -> Gateway {
+    pub fn spawn(&self, vm: &str) -> Gateway {
         let start = GatewayOptions {
             program: Path::new(env!("CARGO_BIN_EXE_fescuedrift")),
             dir: &self.folder,
@@ -85,7 +85,7 @@
         Gateway::spawn(&start).expect("a gateway")
     }
 
-    async fn ready(&self, vm: &str) -> Gateway {
+    pub async fn ready(&self, vm: &str) -> Gateway {
         let gateway = self.spawn(vm);
         assert!(
             gateway.await_ready(READY_TIMEOUT).await,
@@ -94,11 +94,11 @@
         gateway
     }
 
-    fn ask(&self, kind: Kind, id: &str) -> RequestSpec {
+    pub fn ask(&self, kind: Kind, id: &str) -> RequestSpec {
         RequestSpec::new(kind, &self.team, id)
     }
 
-    fn runs(&self, id: &str) -> u32 {
+    pub fn runs(&self, id: &str) -> u32 {
         self.record.lock().runs.get(id).copied().unwrap_or_default()
     }
 }
@@ -111,7 +111,7 @@
     }
 }
 
-fn status(seen: &Outcome) -> Option<u16> {
+pub fn status(seen: &Outcome) -> Option<u16> {
     match seen {
         Outcome::Refused { status, .. } => Some(status.as_u16()),
         _ => None,
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -2,12 +2,15 @@
 
 mod fleet;
 mod gateway;
+mod gateway_crashes;
+mod gateway_endings;
 mod money_deaths;
 mod money_figures;
 mod money_generated;
 mod money_stories;
 mod process_admin;
 mod process_calls;
+mod process_endings;
 mod process_floods;
 mod process_input;
 mod process_service;
--- a/crates/router/tests/suite/process_floods.rs
+++ b/crates/router/tests/suite/process_floods.rs
@@ -11,11 +11,11 @@
 use crate::site::{KEY, QUICK, Site, chat, eventually, purchase};
 
 /// Returns rules in which all models and services lead to one upstream.
-fn rules(site: &Site, upstream: &FloodUpstream) -> String {
+pub fn rules_with(site: &Site, at: std::net::SocketAddr) -> String {
     let rules = site.rules();
     let lines = rules.lines().filter(|line| !line.starts_with("upstream "));
     let mut text: String = lines.map(|line| format!("{line}\n")).collect();
-    let at = upstream.address;
+
     for (name, serves) in [
         ("engine", "models=price"),
         ("registry", "services=purchases"),
@@ -29,7 +29,7 @@
 }
 
 /// A load report of an idle engine.
-const LOAD: &str = r#"{"incarnation":1,"running":0,"waiting":0,"leaving":false}"#;
+pub const LOAD: &str = r#"{"incarnation":1,"running":0,"waiting":0,"leaving":false}"#;
 
 /// Guards against upstreams that send bytes without end: no caller gets a complete answer, and the
 /// process stays within the memory of a small VM.
@@ -45,7 +45,9 @@
     let path = if flood == Flood::Body { "" } else { "/v1/load" };
     let upstream = FloodUpstream::spawn_except(flood, path, LOAD).await;
     let upstream = upstream.expect("an upstream");
-    let version = site.apply_rules("flood", &rules(&site, &upstream)).await;
+    let version = site
+        .apply_rules("flood", &rules_with(&site, upstream.address))
+        .await;
     site.wait_for_version(version).await;
     let collected = Request::chat(KEY, "price", "lot", 5);
     let body = collected
@@ -89,7 +91,7 @@
     let site = Site::start(&["dakar-1"], 1, QUICK).await;
     let upstream = FloodUpstream::spawn_except(Flood::Data, "/v1/load", LOAD).await;
     let upstream = upstream.expect("an upstream");
-    let text = rules(&site, &upstream);
+    let text = rules_with(&site, upstream.address);
     let version = site.apply_rules("events", &text).await;
     site.wait_for_version(version).await;
     let mut stream = TcpStream::connect(site.routers[0].callers)
--- a/crates/router/tests/suite/process_service.rs
+++ b/crates/router/tests/suite/process_service.rs
@@ -1,10 +1,12 @@
 //! Chat completions through router processes: placement, resumption of streams, answers to the
 //! wrong request, and callers that disconnect.
 
+use fescue_standin::caller::Request;
 use fescue_standin::engine::EngineFaults;
 use rustix::process::Signal;
+use serde_json::json;
 
-use crate::site::{QUICK, SLOW, Site, chat, eventually, expected_text};
+use crate::site::{KEY, QUICK, SLOW, Site, chat, eventually, expected_text};
 
 #[tokio::test]
 async fn stream_is_whole_and_billed_once() {
@@ -126,6 +128,38 @@
     assert!(answer.is_complete(), "the others still serve");
 }
 
+/// Guards against messages that crash engines in whatever request they come: no two requests are alike, and
+/// sound ones share their first message.
+#[tokio::test]
+async fn crashing_message_is_refused_in_every_request() {
+    let site = Site::start(&["dakar-1", "dakar-1", "dakar-2"], 6, QUICK).await;
+    let talk = |id: &str, second: &str| {
+        let contents = ["you are a price desk", second, id];
+        let messages = contents.map(|content| json!({"role": "user", "content": content}));
+        let body = json!({"model": "price", "max_tokens": 5, "stream": true, "messages": messages});
+        Request::post("/v1/chat/completions", KEY, &body.to_string()).with_id(id)
+    };
+    let mut codes = Vec::new();
+    for n in 0..9 {
+        let answer = site
+            .ask(n % 3, &talk(&format!("p-{n}"), "crash-the-engine now"))
+            .await;
+        assert_ne!(answer.status, 200);
+        codes.push(answer.code());
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+        let answer = site
+            .ask(n % 3, &talk(&format!("s-{n}"), "a fair price"))
+            .await;
+        assert!(answer.is_complete(), "{n}: {}", answer.body);
+    }
+    let crashed = site
+        .engines
+        .iter()
+        .filter(|(engine, _)| engine.faults().down);
+    assert!((1..=5).contains(&crashed.count()), "{codes:?}");
+    assert_eq!(codes[6..], ["quarantined"; 3], "{codes:?}");
+}
+
 #[tokio::test]
 async fn engine_dying_by_itself_quarantines_nothing() {
     let site = Site::start(&["dakar-1"], 4, SLOW).await;
