rate_limit: keep to the rate that an upstream names, all routers together

Cause: no router read the header that names the limit; each went on placing by load and prompt.

Change, gateway: an answer's limit is kept with the upstream's process (another start, another address or an answer without the header ends it), and goes to all routers by datagram as the evidence of crashes does; the newest answer wins, and one that nobody repeats is dropped after a minute. A request to such an upstream needs a permit of the upstream's home, one router chosen by rendezvous hashing: equal shares of 2.7 a second over eight routers leave the limit unused, as callers are spread unevenly. The home grants at the named rate with a burst of three; urgent claims and teams under their share go first. A home that doesn't answer twice in 20 ms is skipped for a second, then the next is asked, then an equal share applies. A permit of a request that was not sent, or that was rejected without a limit, goes back.

Change, router: the header x-request-limit of answers; heartbeats carry limits with the upstream's incarnation; each router keeps to its equal share, from answers' or peers' statements.

New, not run on the old code, which has none of this: limited_engine_gets_no_more_than_it_names and the eight tests of rate_limit.

Tried and reverted: permits for large requests first, as the limit counts requests.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use fescue_core::{TeamId, UpstreamId};
+use fescue_policy::rate_limit::RequestRate;
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 
@@ -107,7 +108,7 @@
 }
 
 /// What an upstream states in the headers of its response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMeta {
     /// Whether the upstream states that it did not run the request.
     pub declined: bool,
@@ -117,6 +118,8 @@
     pub id: Option<String>,
     /// Whether the response carries the upstream's signature.
     pub signed: bool,
+    /// The rate of requests that the upstream takes from all routers together; `None` if not stated.
+    pub limit: Option<RequestRate>,
 }
 
 /// Decodes and encodes the headers that the platform's callers and upstreams use.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use fescue_core::{Incarnation, ServiceId, TeamId, Tokens, UpstreamId};
 use fescue_policy::escrow::{Escrow, Reserved};
 use fescue_policy::quarantine::{Attempt, Prints, RETENTION, Standing, Suspects};
+use fescue_policy::rate_limit::{RequestRate, Statement};
 use fescue_policy::window::{Budget, RetryWindow};
 use fescue_store::table::Table;
 use parking_lot::Mutex;
@@ -28,8 +29,9 @@
 use crate::link_use::LinkUsage;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::permits::Permits;
 use crate::settings::{Settings, Tuning};
-use crate::upstreams::{BrokenRequest, Servers};
+use crate::upstreams::{BrokenRequest, Server, Servers};
 
 /// The greatest age of the list of upstreams at a router whose link is full. It is well under the
 /// time within which a leaving upstream must get no new work.
@@ -60,6 +62,8 @@
     pub outbox: Outbox,
     /// The other live routers.
     pub peers: Mutex<Peers>,
+    /// The permits for requests to upstreams that name limits.
+    pub permits: Permits,
     /// The use of the VM's network link.
     pub link: LinkUsage,
     /// The state of token requests between routers.
@@ -111,6 +115,7 @@
             suspects: Mutex::default(),
             outbox: Outbox::default(),
             peers,
+            permits: Permits::default(),
             link,
             handover: Mutex::default(),
             peer_replies: watch::Sender::new(0),
@@ -251,6 +256,27 @@
         self.outbox.push(changed);
     }
 
+    /// Records what an upstream's answer said of its limit, and tells the other routers if it is news.
+    pub fn record_limit(&self, server: &Server, rate: Option<RequestRate>) {
+        let statement = Statement {
+            rate,
+            at: self.now(),
+        };
+        let before = server.limit(self.now());
+        if !server.record_statement(statement) {
+            return;
+        }
+        if before != rate {
+            tracing::info!(
+                upstream = server.entry.id.as_str(),
+                limit = rate.map(RequestRate::per_second),
+                before = before.map(RequestRate::per_second),
+                "upstream's limit changed"
+            );
+        }
+        self.outbox.push_limit(&server.entry.id);
+    }
+
     /// Records that an answer has begun, which clears the parts of its prompt.
     pub fn record_begun(&self, attempt: &Attempt) {
         let now = self.evidence_clock();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,9 +6,12 @@
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use fescue_core::UpstreamId;
 use fescue_policy::quarantine::{Evidence, RETENTION};
+use fescue_policy::rate_limit::{RequestRate, STATEMENT_TTL, Statement};
 use indexmap::IndexSet;
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom;
@@ -17,6 +20,7 @@
 use tokio::sync::Notify;
 
 use crate::gateway::Gateway;
+use crate::upstreams::Server;
 
 /// Interval at which a router sends all its findings to another one.
 pub const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -26,11 +30,30 @@
 const MAX_WAITING: usize = 4096;
 
 /// What a router has found out.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Findings {
     /// The requests and parts of prompts that may have crashed upstreams, or were cleared.
     #[serde(default)]
     pub crashes: Vec<CrashFinding>,
+    /// What the latest answers of upstreams said of their limits.
+    #[serde(default)]
+    pub limits: Vec<LimitFinding>,
+}
+
+/// What an upstream's latest answer said of its limit.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitFinding {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its start time by its own clock; a later start has no limit yet.
+    pub started: Option<u64>,
+    /// The limit; `None` if it has ended.
+    pub rate: Option<RequestRate>,
+    /// How long ago the answer arrived.
+    #[serde(rename = "age_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
 }
 
 /// The evidence about one request or part of a prompt.
@@ -53,6 +76,7 @@
 pub struct Outbox {
     peers: Mutex<IndexSet<u64>>,
     store: Mutex<IndexSet<u64>>,
+    limits: Mutex<IndexSet<UpstreamId>>,
     wake: Notify,
 }
 
@@ -70,6 +94,14 @@
         self.wake.notify_one();
     }
 
+    /// Adds an upstream whose limit is to be sent to the other routers.
+    pub fn push_limit(&self, upstream: &UpstreamId) {
+        let mut limits = self.limits.lock();
+        limits.insert(upstream.clone());
+        limits.truncate(MAX_WAITING);
+        self.wake.notify_one();
+    }
+
     /// Waits until there is something to send to the other routers.
     pub async fn changed(&self) {
         self.wake.notified().await;
@@ -92,7 +124,9 @@
 pub fn new_findings(gateway: &Gateway) -> Vec<(SocketAddr, Findings)> {
     let prints: Vec<_> = gateway.outbox.peers.lock().drain(..).collect();
     let crashes = crash_findings(gateway, |print| prints.contains(print));
-    let findings = split(crashes);
+    let upstreams: Vec<_> = gateway.outbox.limits.lock().drain(..).collect();
+    let limits = limit_findings(gateway, |upstream| upstreams.contains(upstream));
+    let findings = split(&crashes, &limits);
     let peers = gateway.peers.lock().addresses();
     let to_all = |peer: SocketAddr| findings.iter().map(move |part| (peer, part.clone()));
     peers.into_iter().flat_map(to_all).collect()
@@ -100,7 +134,8 @@
 
 /// Returns the datagrams that tell another router, chosen at random, all that this one knows.
 pub fn all_findings(gateway: &Gateway) -> Vec<(SocketAddr, Findings)> {
-    let findings = split(crash_findings(gateway, |_| true));
+    let crashes = crash_findings(gateway, |_| true);
+    let findings = split(&crashes, &limit_findings(gateway, |_| true));
     let peers = gateway.peers.lock().addresses();
     let Some(peer) = peers.choose(&mut rand::rng()) else {
         return Vec::new();
@@ -120,15 +155,43 @@
     chosen.map(finding).collect()
 }
 
-fn split(crashes: Vec<CrashFinding>) -> Vec<Findings> {
-    let part = |crashes: &[CrashFinding]| Findings {
-        crashes: crashes.to_vec(),
+fn limit_findings(gateway: &Gateway, chosen: impl Fn(&UpstreamId) -> bool) -> Vec<LimitFinding> {
+    let now = gateway.now();
+    let servers = gateway.servers.lock();
+    let chosen = servers.iter().filter(|server| chosen(&server.entry.id));
+    let finding = |server: &Arc<Server>| {
+        let statement = server.statement()?;
+        Some(LimitFinding {
+            upstream: server.entry.id.clone(),
+            started: server.entry.started_at,
+            rate: statement.rate,
+            age: now.saturating_sub(statement.at),
+        })
     };
-    crashes.chunks(MAX_FINDINGS).map(part).collect()
+    let findings = chosen.filter_map(finding);
+    findings
+        .filter(|finding| finding.age < STATEMENT_TTL)
+        .collect()
+}
+
+/// Distributes findings over datagrams.
+fn split(crashes: &[CrashFinding], limits: &[LimitFinding]) -> Vec<Findings> {
+    let crashes = crashes.chunks(MAX_FINDINGS).map(|crashes| Findings {
+        crashes: crashes.to_vec(),
+        limits: Vec::new(),
+    });
+    let limits = limits.chunks(MAX_FINDINGS).map(|limits| Findings {
+        crashes: Vec::new(),
+        limits: limits.to_vec(),
+    });
+    crashes.chain(limits).collect()
 }
 
 /// Takes over what another router has found out.
 pub fn receive(gateway: &Gateway, findings: &Findings) {
+    for finding in &findings.limits {
+        receive_limit(gateway, finding);
+    }
     let now = gateway.evidence_clock();
     let fresh = |finding: &&CrashFinding| finding.age < RETENTION;
     for finding in findings.crashes.iter().filter(fresh) {
@@ -144,3 +207,23 @@
         }
     }
 }
+
+fn receive_limit(gateway: &Gateway, finding: &LimitFinding) {
+    let now = gateway.now();
+    let Some(at) = now.checked_sub(finding.age) else {
+        // Older than this process, which will get answers of its own.
+        return;
+    };
+    let server = {
+        let servers = gateway.servers.lock();
+        servers.get(&finding.upstream).map(Arc::clone)
+    };
+    let Some(server) = server.filter(|server| server.entry.started_at == finding.started) else {
+        return;
+    };
+    let rate = finding.rate;
+    if server.record_statement(Statement { rate, at }) {
+        let limit = rate.map(RequestRate::per_second);
+        tracing::debug!(upstream = %finding.upstream, limit, "received an upstream's limit");
+    }
+}
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -22,6 +22,7 @@
 
 use crate::gateway::Gateway;
 use crate::gossip::{self, Findings};
+use crate::permits::{self, Question, Refund};
 use asks::Asks;
 pub use asks::{Outcome, RETRY_INTERVAL, ask};
 use returns::Returns;
@@ -46,7 +47,7 @@
 /// A datagram between routers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum Message {
+pub(crate) enum Message {
     /// Requests tokens of a team from its home.
     Ask(Ask),
     /// Answers an [`Ask`].
@@ -59,10 +60,16 @@
     Taken(Taken),
     /// Shares what a router has found out about requests and upstreams; it has no answer.
     Findings(Findings),
+    /// Asks for a permit to send a request to an upstream that names a limit.
+    Question(Question),
+    /// Answers a [`Question`].
+    Answer(permits::Answer),
+    /// Gives a permit back; it has no answer.
+    Refund(Refund),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Ask {
+pub(crate) struct Ask {
     number: u64,
     team: TeamId,
     /// Minimum that the waiting request lacks.
@@ -72,7 +79,7 @@
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Gift {
+pub(crate) struct Gift {
     number: u64,
     team: TeamId,
     /// Zero if the home cannot cover `needed`.
@@ -83,7 +90,7 @@
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Return {
+pub(crate) struct Return {
     number: u64,
     team: TeamId,
     tokens: Tokens,
@@ -94,7 +101,7 @@
 
 /// Asks a router for a sign of life.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Probe {
+pub(crate) struct Probe {
     number: u64,
     from: Incarnation,
     /// Whether the sender is about to exit, so that nobody sends it tokens.
@@ -102,7 +109,7 @@
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Taken {
+pub(crate) struct Taken {
     number: u64,
     from: Incarnation,
 }
@@ -120,13 +127,14 @@
 }
 
 impl Handover {
-    fn send(&self, to: SocketAddr, message: Message) {
+    /// Queues a message. It is dropped if the queue is full, as the network may drop it.
+    pub(crate) fn send(&self, to: SocketAddr, message: Message) {
         let sent = self
             .outgoing
             .as_ref()
             .map(|out| out.try_send((to, message)));
         if !matches!(sent, Some(Ok(()))) {
-            tracing::debug!(%to, "send queue unavailable; token message dropped");
+            tracing::debug!(%to, "send queue unavailable; message dropped");
         }
     }
 }
@@ -228,6 +236,17 @@
                 from: gateway.incarnation,
             }))
         }
+        Ok(Message::Question(question)) => {
+            Some(Message::Answer(permits::answer(gateway, question)))
+        }
+        Ok(Message::Answer(answer)) => {
+            permits::receive(gateway, answer);
+            None
+        }
+        Ok(Message::Refund(refund)) => {
+            permits::take_back(gateway, refund);
+            None
+        }
         Ok(Message::Findings(findings)) => {
             gossip::receive(gateway, &findings);
             None
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -165,8 +165,16 @@
         self.rank(team).into_iter().filter(answers).collect()
     }
 
+    /// Returns the routers that a key selects, best first; `None` while the list is incomplete.
+    pub fn homes_of(&self, key: u64) -> Option<Vec<Home>> {
+        self.complete.then(|| self.rank_key(key))
+    }
+
     fn rank(&self, team: &TeamId) -> Vec<Home> {
-        let key = hash::digest64(team.as_str().as_bytes());
+        self.rank_key(hash::digest64(team.as_str().as_bytes()))
+    }
+
+    fn rank_key(&self, key: u64) -> Vec<Home> {
         let stays = |peer: &&Peer| self.leaving.get(&peer.address) != Some(&peer.incarnation);
         let staying: Vec<_> = self.list.iter().filter(stays).collect();
         let mut members: Vec<_> = staying.iter().map(|peer| peer.member).collect();
--- /dev/null
+++ b/crates/gateway/src/permits.rs
@@ -0,0 +1,280 @@
+//! Keeps to the rates that upstreams in need name, for all routers together.
+//!
+//! A request to an upstream with a limit needs a permit of the upstream's home, a router that
+//! rendezvous hashing selects, so that the limit is used in full wherever the callers are. A home that
+//! does not answer is skipped for a second; without any, a router keeps to its equal share. See
+//! [docs/design/service.md](../../../docs/design/service.md).
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fescue_core::{TeamId, UpstreamId, hash};
+use fescue_policy::rate_limit::{Bucket, Claim, Denial, RequestRate};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+use crate::gateway::Gateway;
+use crate::handover::Message;
+use crate::peers::Home;
+use crate::upstreams::Server;
+
+/// Time to wait for a home's answer before the question is sent again, and before the home is skipped;
+/// longer than the longest round trip within a region.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Number of times that a question is sent to one home.
+const MAX_SENDS: u32 = 2;
+
+/// Number of homes that are asked in turn.
+const MAX_HOMES: usize = 2;
+
+/// Time for which a home that did not answer is skipped.
+const SILENT_TTL: Duration = Duration::from_secs(1);
+
+/// Number of answers that are kept for repeated questions.
+const MAX_ANSWERS: usize = 1024;
+
+/// Number of buckets above which unused ones are dropped, and how long one counts as used.
+const MAX_BUCKETS: usize = 4096;
+const BUCKET_TTL: Duration = Duration::from_secs(60);
+
+/// The wait of a router that does not know the others yet.
+const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
+
+/// Asks the home of an upstream whether a request may be sent to it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Question {
+    number: u64,
+    upstream: UpstreamId,
+    started: Option<u64>,
+    rate: RequestRate,
+    team: u64,
+    rank: u8,
+}
+
+/// Answers a [`Question`].
+#[serde_as]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    number: u64,
+    granted: bool,
+    /// Time until another request can be granted.
+    #[serde(rename = "wait_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    wait: Duration,
+    /// Whether no other router's request could have been granted either.
+    empty: bool,
+}
+
+/// Gives back a permit whose request the upstream did not get.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Refund {
+    upstream: UpstreamId,
+    started: Option<u64>,
+}
+
+type BucketKey = (UpstreamId, Option<u64>);
+
+/// The permits that this router has granted and asked for.
+#[derive(Debug, Default)]
+pub struct Permits {
+    buckets: Mutex<HashMap<BucketKey, Bucket>>,
+    /// The questions that wait for their answers, by number.
+    open: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    answers: Mutex<indexmap::IndexMap<u64, Answer>>,
+    silent: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+impl Permits {
+    fn grant(
+        &self,
+        key: BucketKey,
+        claim: Claim,
+        rate: RequestRate,
+        now: Duration,
+    ) -> Result<(), Denial> {
+        let mut buckets = self.buckets.lock();
+        if buckets.len() >= MAX_BUCKETS {
+            buckets.retain(|_, bucket| now.saturating_sub(bucket.last_use()) < BUCKET_TTL);
+        }
+        let bucket = buckets.entry(key).or_insert_with(|| Bucket::open(now));
+        bucket.grant(claim, rate, now)
+    }
+
+    fn take_share(&self, key: BucketKey, rate: RequestRate, routers: usize, now: Duration) -> bool {
+        let mut buckets = self.buckets.lock();
+        let bucket = buckets.entry(key).or_insert_with(|| Bucket::open(now));
+        bucket.take_share(rate, routers, now)
+    }
+
+    fn put_back(&self, key: &BucketKey) {
+        if let Some(bucket) = self.buckets.lock().get_mut(key) {
+            bucket.put_back();
+        }
+    }
+
+    fn is_silent(&self, home: SocketAddr) -> bool {
+        let mut silent = self.silent.lock();
+        silent.retain(|_, until| *until > Instant::now());
+        silent.contains_key(&home)
+    }
+}
+
+/// Returns the claim of a request.
+pub fn claim(team: Option<&TeamId>, rank: u8) -> Claim {
+    let team = team.map_or("", TeamId::as_str);
+    Claim {
+        team: hash::digest64(team.as_bytes()),
+        rank,
+    }
+}
+
+/// Asks for a permit to send one request to an upstream that names the limit `rate`.
+///
+/// # Errors
+///
+/// [`Denial`] if the request must not be sent there now.
+pub async fn take(
+    gateway: &Gateway,
+    server: &Server,
+    rate: RequestRate,
+    claim: Claim,
+) -> Result<(), Denial> {
+    let key = (server.entry.id.clone(), server.entry.started_at);
+    let Some(homes) = gateway.peers.lock().homes_of(place(&key)) else {
+        return Err(Denial {
+            wait: UNKNOWN_WAIT,
+            empty: true,
+        });
+    };
+    for home in homes.into_iter().take(MAX_HOMES) {
+        match home {
+            Home::Own => return gateway.permits.grant(key, claim, rate, gateway.now()),
+            Home::Peer(peer) if gateway.permits.is_silent(peer) => {}
+            Home::Peer(peer) => {
+                let question = Question {
+                    number: rand::random(),
+                    upstream: key.0.clone(),
+                    started: key.1,
+                    rate,
+                    team: claim.team,
+                    rank: claim.rank,
+                };
+                match ask(gateway, peer, question).await {
+                    Some(answer) if answer.granted => return Ok(()),
+                    Some(answer) => {
+                        return Err(Denial {
+                            wait: answer.wait,
+                            empty: answer.empty,
+                        });
+                    }
+                    None => {
+                        tracing::info!(upstream = %key.0, %peer, "no answer to a question for a permit; router skipped");
+                        let until = Instant::now() + SILENT_TTL;
+                        gateway.permits.silent.lock().insert(peer, until);
+                    }
+                }
+            }
+        }
+    }
+    let (routers, now) = (gateway.routers(), gateway.now());
+    if gateway.permits.take_share(key, rate, routers, now) {
+        return Ok(());
+    }
+    let share = rate.per_second() / routers as f64;
+    Err(Denial {
+        wait: Duration::from_secs_f64(1.0 / share).min(SILENT_TTL),
+        empty: true,
+    })
+}
+
+async fn ask(gateway: &Gateway, peer: SocketAddr, question: Question) -> Option<Answer> {
+    let number = question.number;
+    let (sender, mut receiver) = oneshot::channel();
+    gateway.permits.open.lock().insert(number, sender);
+    let mut answer = None;
+    for _ in 0..MAX_SENDS {
+        gateway
+            .handover
+            .lock()
+            .send(peer, Message::Question(question.clone()));
+        if let Ok(received) = timeout(ANSWER_TIMEOUT, &mut receiver).await {
+            answer = received.ok();
+            break;
+        }
+    }
+    gateway.permits.open.lock().remove(&number);
+    answer
+}
+
+/// Gives back the permit of a request that the upstream did not get.
+pub fn put_back(gateway: &Gateway, server: &Server) {
+    let key = (server.entry.id.clone(), server.entry.started_at);
+    let homes = gateway.peers.lock().homes_of(place(&key));
+    let first = homes.and_then(|homes| homes.first().copied());
+    match first {
+        Some(Home::Peer(peer)) => {
+            let (upstream, started) = key;
+            let refund = Refund { upstream, started };
+            let handover = gateway.handover.lock();
+            handover.send(peer, Message::Refund(refund));
+        }
+        Some(Home::Own) | None => gateway.permits.put_back(&key),
+    }
+}
+
+/// Answers another router's question; a repeated one gets the same answer.
+pub fn answer(gateway: &Gateway, question: Question) -> Answer {
+    let number = question.number;
+    if let Some(answer) = gateway.permits.answers.lock().get(&number) {
+        return *answer;
+    }
+    let claim = Claim {
+        team: question.team,
+        rank: question.rank,
+    };
+    // This router may have heard the upstream later than the one that asks.
+    let known = {
+        let servers = gateway.servers.lock();
+        let server = servers.get(&question.upstream);
+        server.and_then(|server| server.limit(gateway.now()))
+    };
+    let rate = known.unwrap_or(question.rate);
+    let key = (question.upstream, question.started);
+    let granted = gateway.permits.grant(key, claim, rate, gateway.now());
+    let denial = granted.err();
+    let answer = Answer {
+        number,
+        granted: denial.is_none(),
+        wait: denial.map_or(Duration::ZERO, |denial| denial.wait),
+        empty: denial.is_some_and(|denial| denial.empty),
+    };
+    let mut answers = gateway.permits.answers.lock();
+    if answers.len() >= MAX_ANSWERS {
+        answers.drain(..MAX_ANSWERS / 2);
+    }
+    answers.insert(number, answer);
+    answer
+}
+
+/// Passes an answer on to the request that waits for it. An answer that comes too late is dropped.
+pub fn receive(gateway: &Gateway, answer: Answer) {
+    if let Some(waiting) = gateway.permits.open.lock().remove(&answer.number) {
+        // The request may have ended.
+        let _ended = waiting.send(answer);
+    }
+}
+
+/// Takes back a permit that another router gives back.
+pub fn take_back(gateway: &Gateway, refund: Refund) {
+    gateway.permits.put_back(&(refund.upstream, refund.started));
+}
+
+/// Returns the hash that selects the homes of an upstream.
+fn place((upstream, _): &BucketKey) -> u64 {
+    hash::digest64(upstream.as_str().as_bytes())
+}
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -211,6 +211,7 @@
         sends: 0,
         prints,
         attempt: Attempt::default(),
+        limited: None,
     };
     Ok((job, reservation))
 }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -8,6 +8,7 @@
 use fescue_policy::affinity::{self, Candidate};
 use fescue_policy::limit::Breaker;
 use fescue_policy::quarantine::Attempt;
+use fescue_policy::rate_limit::{RequestRate, Statement};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -43,6 +44,10 @@
     breaker: Breaker,
     /// The requests whose connection broke lately.
     broken: Vec<BrokenRequest>,
+    /// What the latest answer said of the upstream's limit; `None` if nothing is known.
+    statement: Option<Statement>,
+    /// When the upstream's home can grant a request again.
+    blocked_until: Option<Instant>,
     /// Whether a check for a crash is in progress.
     checking: bool,
     /// The end of the grace period of an upstream that is no longer listed; `None` while listed.
@@ -61,6 +66,9 @@
 /// The time within which a broken request and a refused connection count as one crash.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
+/// The age at which a statement about a limit is renewed by the next answer.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The largest number of broken requests that are kept per upstream.
 const MAX_BROKEN: usize = 256;
 
@@ -157,6 +165,52 @@
         broken
     }
 
+    /// Takes over what an answer said of the limit, unless a later one is known or there is no limit
+    /// to be ended; returns whether it differs from what was known, or renews an old statement.
+    pub fn record_statement(&self, statement: Statement) -> bool {
+        let mut state = self.state.lock();
+        let Some(known) = state.statement else {
+            if statement.rate.is_some() {
+                state.statement = Some(statement);
+            }
+            return statement.rate.is_some();
+        };
+        if known.at >= statement.at {
+            return false;
+        }
+        let unchanged = known.rate == statement.rate;
+        let fresh = statement.at.saturating_sub(known.at) < RENEWAL_INTERVAL;
+        if unchanged && (fresh || statement.rate.is_none()) {
+            return false;
+        }
+        state.statement = Some(statement);
+        true
+    }
+
+    /// Returns what is known of the limit.
+    pub fn statement(&self) -> Option<Statement> {
+        self.state.lock().statement
+    }
+
+    /// Returns the limit in force.
+    pub fn limit(&self, now: Duration) -> Option<RequestRate> {
+        self.state.lock().statement?.limit(now)
+    }
+
+    /// Gives the upstream no request for some time, since its limit is used up.
+    pub fn block(&self, wait: Duration) {
+        self.state.lock().blocked_until = Some(Instant::now() + wait);
+    }
+
+    /// Returns how long the upstream's limit allows no request; `None` if it may allow one now.
+    fn blocked(&self, now: Duration) -> Option<Duration> {
+        let state = self.state.lock();
+        state.statement?.limit(now)?;
+        let until = state.blocked_until?;
+        let left = until.saturating_duration_since(Instant::now());
+        Some(left).filter(|left| !left.is_zero())
+    }
+
     /// Returns the number of this router's requests that are running there.
     pub fn running(&self) -> u32 {
         self.state.lock().running
@@ -189,6 +243,15 @@
     fn accepts(&self, now: Duration) -> bool {
         self.is_usable() && self.state.lock().breaker.allows(now)
     }
+
+    /// Returns whether a request with these requirements may be sent there, apart from the circuit
+    /// breaker.
+    fn fits(&self, requirements: &Requirements<'_>, now: Duration) -> bool {
+        self.entry.service == *requirements.service
+            && !requirements.tried.contains(&self.entry.id)
+            && !requirements.denied.contains(&self.entry.id)
+            && self.blocked(now).is_none()
+    }
 }
 
 /// A request's share of an upstream's load, released when dropped.
@@ -196,6 +259,7 @@
 pub struct Slot {
     server: Arc<Server>,
     unread: u64,
+    permitted: bool,
 }
 
 impl Slot {
@@ -219,6 +283,23 @@
     }
 }
 
+impl Slot {
+    /// Records that the upstream's limit allows the request.
+    pub fn mark_permitted(&mut self) {
+        self.permitted = true;
+    }
+
+    /// Returns whether a permit was taken for the request.
+    pub fn is_permitted(&self) -> bool {
+        self.permitted
+    }
+
+    /// Gives the slot up before the request was sent.
+    pub fn cancel(self) {
+        self.server.state.lock().breaker.abandon();
+    }
+}
+
 /// The criteria by which an upstream is chosen for a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Requirements<'a> {
@@ -230,6 +311,8 @@
     pub input: u64,
     /// The upstreams of earlier attempts, which are not chosen again.
     pub tried: &'a [UpstreamId],
+    /// The upstreams whose limits allow this request none now.
+    pub denied: &'a [UpstreamId],
     /// A hash of the request, which decides between equal candidates.
     pub tie_breaker: u64,
 }
@@ -301,6 +384,19 @@
         self.table.is_empty()
     }
 
+    /// Returns how long no upstream of a service can be used because of limits; `None` if limits are not
+    /// the reason.
+    pub fn blocked(&self, service: &ServiceId, now: Duration) -> Option<Duration> {
+        let usable = |server: &&Arc<Server>| server.entry.service == *service && server.is_usable();
+        let usable = self.table.values().filter(usable);
+        usable.filter_map(|server| server.blocked(now)).min()
+    }
+
+    /// Iterates over all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.table.values()
+    }
+
     /// Chooses an upstream and acquires a slot there. Upstreams in the data centre `near` are
     /// marked as near in the choice; `None` if no upstream may be used.
     pub fn acquire(
@@ -309,19 +405,13 @@
         requirements: &Requirements<'_>,
         near: &str,
     ) -> Option<Slot> {
-        let available = |server: &&Arc<Server>| {
-            server.entry.service == *requirements.service
-                && !requirements.tried.contains(&server.entry.id)
-                && server.accepts(now)
-        };
+        let available =
+            |server: &&Arc<Server>| server.fits(requirements, now) && server.accepts(now);
         let mut servers: Vec<_> = self.table.values().filter(available).collect();
         if servers.is_empty() {
             // The circuit breaker of every remaining upstream is open; one of them may still serve.
-            let listed = |server: &&Arc<Server>| {
-                server.entry.service == *requirements.service
-                    && server.is_usable()
-                    && !requirements.tried.contains(&server.entry.id)
-            };
+            let listed =
+                |server: &&Arc<Server>| server.fits(requirements, now) && server.is_usable();
             servers = self.table.values().filter(listed).collect();
         }
         let candidate = |server: &&Arc<Server>| Candidate {
@@ -339,6 +429,10 @@
             state.breaker.start();
         }
         let unread = requirements.input;
-        Some(Slot { server, unread })
+        Some(Slot {
+            server,
+            unread,
+            permitted: false,
+        })
     }
 }
--- a/crates/gateway/tests/suite/upstreams.rs
+++ b/crates/gateway/tests/suite/upstreams.rs
@@ -31,6 +31,7 @@
         prefix: None,
         input: 0,
         tried: &[],
+        denied: &[],
         tie_breaker: 1,
     };
     servers.acquire(Duration::ZERO, &requirements, "here")
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -10,7 +10,7 @@
 use fescue_policy::quarantine::Evidence;
 use fescue_policy::witness::{Noted, Notes};
 
-use crate::{BillCopies, Heartbeat, PeerError, SuspectReport, TokenRequest, wire};
+use crate::{BillCopies, Heartbeat, LimitReport, PeerError, SuspectReport, TokenRequest, wire};
 
 /// Parses a textual id in a message.
 ///
@@ -49,10 +49,33 @@
             leaving_upstreams: upstreams.map(leaving).collect(),
             suspects: suspects.map(suspect).collect(),
             closed: heartbeat.closed.iter().map(|c| c.get()).collect(),
+            upstream_limits: heartbeat.upstream_limits.iter().map(wire_limit).collect(),
         }
     }
 }
 
+fn wire_limit(report: &LimitReport) -> wire::UpstreamLimit {
+    wire::UpstreamLimit {
+        upstream: report.upstream.to_string(),
+        incarnation: report.incarnation,
+        rate: report.rate.map_or(String::new(), |rate| rate.to_string()),
+        age_ms: u64::try_from(report.age.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn limit_report(limit: &wire::UpstreamLimit) -> Result<LimitReport, PeerError> {
+    let rate = match limit.rate.as_str() {
+        "" => None,
+        text => Some(parse_id(text)?),
+    };
+    Ok(LimitReport {
+        upstream: parse_id(&limit.upstream)?,
+        incarnation: limit.incarnation,
+        rate,
+        age: Duration::from_millis(limit.age_ms),
+    })
+}
+
 fn suspect_report(suspect: &wire::Suspect) -> SuspectReport {
     SuspectReport {
         print: suspect.fingerprint,
@@ -80,6 +103,11 @@
             leaving_upstreams: upstreams.map(leaving).collect::<Result<_, _>>()?,
             suspects: suspects.map(suspect_report).collect(),
             closed: message.closed.into_iter().map(Incarnation::new).collect(),
+            upstream_limits: message
+                .upstream_limits
+                .iter()
+                .map(limit_report)
+                .collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,6 +16,7 @@
 use fescue_policy::bills::Bill;
 use fescue_policy::ledger::Parts;
 use fescue_policy::quarantine::Evidence;
+use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::witness::{Noted, Notes, Report};
 
 /// The messages, client and server generated from `proto/peer.proto`.
@@ -57,6 +58,21 @@
     pub suspects: Vec<SuspectReport>,
     /// The router incarnations whose allowances are closed.
     pub closed: Vec<Incarnation>,
+    /// The limits that upstreams name.
+    pub upstream_limits: Vec<LimitReport>,
+}
+
+/// What an upstream's latest answer said of the rate of requests that it takes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitReport {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The upstream's incarnation.
+    pub incarnation: u64,
+    /// The rate for all routers together; `None` if the limit has ended.
+    pub rate: Option<RequestRate>,
+    /// How long ago the answer arrived.
+    pub age: Duration,
 }
 
 /// The evidence against one request or part of a prompt.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod queue;
+pub mod rate_limit;
 pub mod rendezvous;
 pub mod retry;
 pub mod sizing;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -58,6 +58,11 @@
         self.routers = routers;
     }
 
+    /// Returns the number of routers that share the upstream, at least 1.
+    pub fn routers(&self) -> u32 {
+        self.routers.max(1)
+    }
+
     /// Returns the number of slots after adaptation to failures, at least 1.
     pub fn slots(&self) -> u32 {
         let slots = f64::from(self.slots) * self.factor;
--- a/crates/policy/tests/suite/main.rs
+++ b/crates/policy/tests/suite/main.rs
@@ -9,5 +9,6 @@
 mod placement;
 mod quarantine;
 mod queue;
+mod rate_limit;
 mod window;
 mod witness;
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -165,7 +165,7 @@
         let upstream = Arc::clone(&self.rules[choice.best.index]);
         context
             .upstreams
-            .record_start(&upstream.name, entry.job.prefix);
+            .record_start(&upstream.name, entry.job.prefix, context.now);
         self.log(pool, &entry, &choice, context.now);
         let sender = entry.sender;
         Some(Grant { upstream, sender })
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -15,8 +15,8 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, body::Body, http::Request};
-use fescue_core::Refusal;
 use fescue_core::outcome::Reason;
+use fescue_core::{Refusal, UpstreamId};
 use fescue_store::claims::Claims;
 use parking_lot::Mutex;
 use serde_json::json;
@@ -24,7 +24,8 @@
 use crate::allowance::Allowance;
 use crate::billing::Biller;
 use crate::blackboard::Board;
-use crate::upstream::Client;
+use crate::upstream::{Client, named_limit};
+use fescue_policy::rate_limit::Statement;
 use fescue_policy::retry::RetryBudget;
 
 /// The components that request handlers use.
@@ -45,6 +46,20 @@
     pub membership_wake: Arc<tokio::sync::Notify>,
 }
 
+impl Front {
+    /// Records what an upstream's answer says of its limit, and tells the peers if that is news.
+    fn record_limit(&self, upstream: &UpstreamId, headers: &HeaderMap) {
+        let statement = Statement {
+            rate: named_limit(headers),
+            at: self.board.now(),
+        };
+        let mut upstreams = self.board.upstreams.lock();
+        if upstreams.record_statement(upstream, None, statement) {
+            self.membership_wake.notify_one();
+        }
+    }
+}
+
 /// Returns the routes of the callers' API.
 pub fn router(front: Arc<Front>) -> Router {
     Router::new()
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -250,7 +250,11 @@
             () = self.sender.closed() => return Outcome::Disconnected,
         };
         let reply = match reply {
-            Ok(reply) if reply.status().is_success() => reply,
+            Ok(reply) if reply.status().is_success() => {
+                self.front
+                    .record_limit(&permit.upstream.name, reply.headers());
+                reply
+            }
             Ok(_) => return Outcome::Failed(Failure::Declined),
             Err(failure) => return Outcome::Failed(failure),
         };
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -280,6 +280,8 @@
             timeout: self.rule.timeout,
         };
         let reply = self.front.client.call(&call).await?;
+        self.front
+            .record_limit(&permit.upstream.name, reply.headers());
         let status = reply.status().as_u16();
         let kind = reply.headers().get(header::CONTENT_TYPE);
         let kind = kind.and_then(|k| k.to_str().ok()).unwrap_or_default();
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_peer::{Heartbeat, PeerApi, SuspectReport, client};
+use fescue_peer::{Heartbeat, LimitReport, PeerApi, SuspectReport, client};
 use fescue_policy::quarantine::RETENTION;
+use fescue_policy::rate_limit::{STATEMENT_TTL, Statement};
 use fescue_store::{Vm, VmList, VmState};
 use futures_util::future::join_all;
 use tokio::sync::Notify;
@@ -158,6 +159,7 @@
     let rules = board.rules.lock().version();
     let suspects = latest_suspects(board);
     let leaving_upstreams = board.leaving_upstreams();
+    let upstream_limits = upstream_limits(board);
     let closed = board.closed.lock().iter().copied().collect();
     Heartbeat {
         incarnation: board.me.incarnation,
@@ -168,9 +170,26 @@
         leaving_upstreams,
         suspects,
         closed,
+        upstream_limits,
     }
 }
 
+/// Returns the limits that upstreams name.
+fn upstream_limits(board: &Board) -> Vec<LimitReport> {
+    let now = board.now();
+    let statements = board.upstreams.lock().statements();
+    let report = |(upstream, incarnation, statement): (_, _, Statement)| LimitReport {
+        upstream,
+        incarnation,
+        rate: statement.rate,
+        age: now.saturating_sub(statement.at),
+    };
+    let reports = statements.into_iter().map(report);
+    reports
+        .filter(|report| report.age < STATEMENT_TTL)
+        .collect()
+}
+
 /// Returns the evidence of crashes that changed last, the latest first.
 fn latest_suspects(board: &Board) -> Vec<SuspectReport> {
     let now = board.evidence_clock();
@@ -214,6 +233,14 @@
         for (upstream, incarnation) in &heartbeat.leaving_upstreams {
             upstreams.mark_leaving(upstream, *incarnation);
         }
+        for report in &heartbeat.upstream_limits {
+            // A report from before the start of this router is left to its own answers.
+            if let Some(at) = now.checked_sub(report.age) {
+                let (name, incarnation) = (&report.upstream, Some(report.incarnation));
+                let rate = report.rate;
+                upstreams.record_statement(name, incarnation, Statement { rate, at });
+            }
+        }
     }
     let mut closed = board.closed.lock();
     closed.extend(&heartbeat.closed);
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -5,7 +5,7 @@
 mod load;
 mod state;
 
-pub use call::{Call, Client, Reply, collect};
+pub use call::{Call, Client, Reply, collect, named_limit};
 pub use events::Events;
 pub use load::LoadPoller;
 pub use state::{Snapshot, State, Upstreams};
--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use fescue_core::{Priority, RequestId, VmId};
+use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::retry::Failure;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -28,6 +29,9 @@
 /// The size limit of a plain service's answer or a load report.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
+/// The header in which an upstream names the requests per second that it takes from all routers.
+const LIMIT_HEADER: &str = "x-request-limit";
+
 /// The limit on interim responses before an answer.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
@@ -173,6 +177,19 @@
     request.body(Full::new(call.body.clone())).ok()
 }
 
+/// Returns the rate of requests that the upstream takes from all routers together; `None` if its answer
+/// names none. A malformed one is logged and left out.
+pub fn named_limit(headers: &HeaderMap) -> Option<RequestRate> {
+    let text = headers.get(LIMIT_HEADER)?.to_str().ok()?;
+    match text.parse() {
+        Ok(rate) => Some(rate),
+        Err(error) => {
+            tracing::warn!(%error, "malformed limit of an upstream; ignored");
+            None
+        }
+    }
+}
+
 /// Returns whether an answer belongs to the attempt; headers that are missing count as matching.
 fn matches_attempt(headers: &HeaderMap, call: &Call<'_>) -> bool {
     let named = |name: &str, own: &str| {
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -7,6 +7,7 @@
 use fescue_core::{DataCentreId, UpstreamId, hash, record};
 use fescue_policy::limit::{Breaker, Limit, Occupancy};
 use fescue_policy::placement::Candidate;
+use fescue_policy::rate_limit::{Bucket, RequestRate, Statement};
 use indexmap::{IndexMap, IndexSet};
 
 /// The incarnation of an upstream that has given no report.
@@ -45,6 +46,10 @@
     leaving: bool,
     /// The time of the first missed report since the last successful one.
     down_since: Option<Duration>,
+    /// What the latest answer said of the rate of requests that the upstream takes from all routers.
+    statement: Option<Statement>,
+    /// This router's share of that rate.
+    share: Bucket,
 }
 
 record! {
@@ -80,6 +85,8 @@
             prefixes: IndexSet::new(),
             leaving: false,
             down_since: None,
+            statement: None,
+            share: Bucket::open(Duration::ZERO),
             rule,
         }
     }
@@ -130,7 +137,12 @@
     /// Returns whether the upstream may get one more request now.
     pub fn is_open(&self, now: Duration) -> bool {
         let allowed = self.limit.allows(self.in_flight, &self.occupancy);
-        allowed && self.is_up() && self.breaker.allows(now)
+        let routers = self.limit.routers() as usize;
+        let rate = self
+            .statement
+            .and_then(|statement| statement.limit(now))
+            .is_none_or(|rate| self.share.share_allows(rate, routers, now));
+        allowed && rate && self.is_up() && self.breaker.allows(now)
     }
 
     /// Returns whether the upstream is neither down nor leaving, regardless of its load.
@@ -147,7 +159,11 @@
     }
 
     /// Records that a request is sent to the upstream.
-    fn record_start(&mut self, prefix: u64) {
+    fn record_start(&mut self, prefix: u64, now: Duration) {
+        if let Some(rate) = self.statement.and_then(|statement| statement.limit(now)) {
+            let routers = self.limit.routers() as usize;
+            self.share.take_share(rate, routers, now);
+        }
         self.in_flight += 1;
         self.occupancy.sent += 1;
         self.breaker.start();
@@ -242,12 +258,50 @@
     }
 
     /// Records that a request is sent to an upstream; `prefix` is the hash of its prompt's prefix.
-    pub fn record_start(&mut self, name: &UpstreamId, prefix: u64) {
+    pub fn record_start(&mut self, name: &UpstreamId, prefix: u64, now: Duration) {
         if let Some(state) = self.states.get_mut(name) {
-            state.record_start(prefix);
+            state.record_start(prefix, now);
         }
     }
 
+    /// Records what an answer of an upstream's incarnation said of its limit, unless a later answer is known;
+    /// returns whether the limit has changed. `None` stands for the current incarnation.
+    pub fn record_statement(
+        &mut self,
+        name: &UpstreamId,
+        incarnation: Option<u64>,
+        statement: Statement,
+    ) -> bool {
+        let Some(state) = self.states.get_mut(name) else {
+            return false;
+        };
+        let same = incarnation.is_none_or(|known| known == state.incarnation);
+        let known = state.statement;
+        if !same || known.is_some_and(|known| known.at >= statement.at) {
+            return false;
+        }
+        let before = known.and_then(|known| known.rate);
+        if before.is_none() && statement.rate.is_none() {
+            return false;
+        }
+        state.statement = Some(statement);
+        let changed = before != statement.rate;
+        if changed {
+            let limit = statement.rate.map(RequestRate::per_second);
+            let before = before.map(RequestRate::per_second);
+            tracing::info!(upstream = %name, limit, before, "the upstream's limit changed");
+        }
+        changed
+    }
+
+    /// Returns what is known of the upstreams' limits, each with the upstream's incarnation.
+    pub fn statements(&self) -> Vec<(UpstreamId, u64, Statement)> {
+        let states = self.states.iter();
+        let known = states
+            .filter_map(|(name, state)| Some((name.clone(), state.incarnation, state.statement?)));
+        known.collect()
+    }
+
     /// Records that a request ended; `success` is `None` if that tells nothing of the upstream.
     pub fn record_end(
         &mut self,
@@ -278,6 +332,7 @@
         };
         if state.incarnation != incarnation {
             state.prefixes.clear();
+            state.statement = None;
         }
         state.incarnation = incarnation;
         state.leaving = known_leaving;
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod gateway;
 mod gateway_crashes;
 mod gateway_endings;
+mod gateway_limits;
 mod money_deaths;
 mod money_figures;
 mod money_generated;
--- a/crates/router/tests/suite/process_service.rs
+++ b/crates/router/tests/suite/process_service.rs
@@ -1,6 +1,8 @@
 //! Chat completions through router processes: placement, resumption of streams, answers to the
 //! wrong request, and callers that disconnect.
 
+use std::time::Duration;
+
 use fescue_standin::caller::Request;
 use fescue_standin::engine::EngineFaults;
 use rustix::process::Signal;
@@ -128,6 +130,48 @@
     assert!(answer.is_complete(), "the others still serve");
 }
 
+/// Guards against an engine that gets far more than the limit that it named: all routers keep to it together, no
+/// request is refused while another engine is free, and the limit ends when answers name it no more.
+#[tokio::test]
+async fn limited_engine_gets_no_more_than_it_names() {
+    let site = Site::start(&["dakar-1", "dakar-2"], 2, QUICK).await;
+    let limit = |limit: &str| {
+        site.engines[0].0.set_faults(EngineFaults {
+            limit: limit.to_owned(),
+            ..EngineFaults::default()
+        });
+    };
+    limit("3");
+    send_for(&site, "a", Duration::from_secs(3)).await;
+    for window in 0..2 {
+        let before = site.engines[0].0.load().started;
+        send_for(&site, &format!("b-{window}"), Duration::from_secs(4)).await;
+        let started = site.engines[0].0.load().started - before;
+        assert!((1..=23).contains(&started), "{started} in 4 s");
+    }
+    limit("");
+    send_for(&site, "c", Duration::from_secs(3)).await;
+    let before = site.engines[0].0.load().started;
+    send_for(&site, "d", Duration::from_secs(4)).await;
+    let started = site.engines[0].0.load().started - before;
+    assert!(started > 23, "the limit has ended: {started} in 4 s");
+}
+
+/// Sends requests to both routers in turn, 40 a second, and checks that all are answered.
+async fn send_for(site: &Site, name: &str, length: Duration) {
+    let mut open = Vec::new();
+    for number in 0..length.as_millis() / 25 {
+        let id = format!("{name}-{number}");
+        let router = usize::from(number % 2 == 0);
+        open.push(site.spawn_ask(router, &chat(&id, &format!("lot {id}"), 5)));
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    for ask in open {
+        let answer = ask.await.expect("a caller").expect("an answer");
+        assert!(answer.is_complete(), "{}", answer.body);
+    }
+}
+
 /// Guards against messages that crash engines in whatever request they come: no two requests are alike, and
 /// sound ones share their first message.
 #[tokio::test]
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -39,6 +39,8 @@
         /// Token index, counted from the start of the completion, at which streams break off; zero
         /// for never.
         pub cut_after: u64,
+        /// Limit that answers name, in requests a second; empty for none.
+        pub limit: String,
     }
 
     /// The load report that an engine serves at `/v1/load`.
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -5,7 +5,7 @@
 
 use axum::body::{Body, Bytes};
 use axum::extract::State;
-use axum::http::{HeaderMap, HeaderName, StatusCode, header};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
@@ -97,7 +97,13 @@
         HeaderName::from_static("x-attempt"),
         text("x-attempt").to_owned(),
     );
-    ([content_type, request_id, attempt], body).into_response()
+    let mut response = ([content_type, request_id, attempt], body).into_response();
+    if let Ok(limit) = faults.limit.parse::<HeaderValue>()
+        && !limit.is_empty()
+    {
+        response.headers_mut().insert("x-request-limit", limit);
+    }
+    response
 }
 
 /// Returns a response whose body fails before its first byte, as when the process dies.
