gossip: bound what one exchange sends; renew limits less often

An exchange sent all evidence, up to 4096 hashes a second, and each limit was sent to all routers every 2 s: at 2,000 upstreams in need far over the 6 KB/s that a node may use for control. An exchange now sends the latest 24 changes and 24 limits; a limit that is unchanged is sent again after 15 s, well within the minute for which it holds. A question for a permit no longer stays in its table when its caller disconnects, and a message that the receiver would cut is dropped with a log line.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Shares what one router has found out about requests and upstreams with all other routers.
 //!
 //! New findings go to all routers at once. Datagrams get lost and routers start anew, so each router
-//! also sends all that it knows to another one, chosen at random, once a second. Evidence of crashes is
+//! also sends what it knows to another one, chosen at random, once a second. Evidence of crashes is
 //! in the store as well, see [`crate::fleet`], for a fleet that starts anew. See
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
@@ -14,7 +14,7 @@
 use fescue_policy::rate_limit::{RequestRate, STATEMENT_TTL, Statement};
 use indexmap::IndexSet;
 use parking_lot::Mutex;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::sync::Notify;
@@ -22,11 +22,16 @@
 use crate::gateway::Gateway;
 use crate::upstreams::Server;
 
-/// Interval at which a router sends all its findings to another one.
+/// Interval at which a router sends its findings to another one.
 pub const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of findings in one datagram, and maximum number that wait to be sent.
+/// Maximum number of findings in one datagram.
 const MAX_FINDINGS: usize = 12;
+
+/// Maximum number of findings of each kind that one exchange sends.
+const MAX_EXCHANGED: usize = 2 * MAX_FINDINGS;
+
+/// Maximum number of findings that wait to be sent.
 const MAX_WAITING: usize = 4096;
 
 /// What a router has found out.
@@ -132,10 +137,16 @@
     peers.into_iter().flat_map(to_all).collect()
 }
 
-/// Returns the datagrams that tell another router, chosen at random, all that this one knows.
+/// Returns the datagrams that tell another router, chosen at random, what this one knows: the evidence of
+/// crashes that changed last, and limits of upstreams chosen at random.
 pub fn all_findings(gateway: &Gateway) -> Vec<(SocketAddr, Findings)> {
-    let crashes = crash_findings(gateway, |_| true);
-    let findings = split(&crashes, &limit_findings(gateway, |_| true));
+    let mut crashes = crash_findings(gateway, |_| true);
+    crashes.sort_by_key(|finding| finding.age);
+    crashes.truncate(MAX_EXCHANGED);
+    let mut limits = limit_findings(gateway, |_| true);
+    limits.shuffle(&mut rand::rng());
+    limits.truncate(MAX_EXCHANGED);
+    let findings = split(&crashes, &limits);
     let peers = gateway.peers.lock().addresses();
     let Some(peer) = peers.choose(&mut rand::rng()) else {
         return Vec::new();
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -212,6 +212,11 @@
             return;
         }
     };
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        let bytes = bytes.len();
+        tracing::warn!(%peer, bytes, "message larger than a router reads; message dropped");
+        return;
+    }
     if let Err(error) = socket.send_to(&bytes, peer).await {
         tracing::debug!(%peer, %error, "sending a token message failed; message dropped");
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -195,10 +195,12 @@
     }
 
     fn log_placed(&self, server: &Server, limit: Option<RequestRate>) {
+        let listed = self.gateway.servers.lock().len();
         tracing::info!(
             request = self.call.id,
             upstream = server.entry.id.as_str(),
             running = server.running(),
+            listed,
             limit = limit.map(RequestRate::per_second),
             attempt = self.tried.len() + 1,
             ms = self.arrival.elapsed().as_millis() as u64,
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -196,19 +196,32 @@
     let number = question.number;
     let (sender, mut receiver) = oneshot::channel();
     gateway.permits.open.lock().insert(number, sender);
-    let mut answer = None;
+    let _open = OpenQuestion {
+        permits: &gateway.permits,
+        number,
+    };
     for _ in 0..MAX_SENDS {
         gateway
             .handover
             .lock()
             .send(peer, Message::Question(question.clone()));
         if let Ok(received) = timeout(ANSWER_TIMEOUT, &mut receiver).await {
-            answer = received.ok();
-            break;
+            return received.ok();
         }
     }
-    gateway.permits.open.lock().remove(&number);
-    answer
+    None
+}
+
+/// A guard that ends the wait for an answer when it is dropped, also by a caller that disconnects.
+struct OpenQuestion<'a> {
+    permits: &'a Permits,
+    number: u64,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        self.permits.open.lock().remove(&self.number);
+    }
 }
 
 /// Gives back the permit of a request that the upstream did not get.
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -67,7 +67,7 @@
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
 /// The age at which a statement about a limit is renewed by the next answer.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(15);
 
 /// The largest number of broken requests that are kept per upstream.
 const MAX_BROKEN: usize = 256;
