tests: answers without a length that are reset, or that are failures

A reset on the way must not look like the end of the answer, on the gateway's streams and plain requests and on chat, collected chat and services of the router.

--- a/crates/router/tests/suite/gateway_endings.rs
+++ b/crates/router/tests/suite/gateway_endings.rs
@@ -3,7 +3,7 @@
 use fescue_site::caller::{Kind, Outcome, send};
 use fescue_site::engine;
 use fescue_site::manifest::{ENGINES, LEDGER, upstream_entry};
-use fescue_site::scripted::{RequestHead, ScriptedUpstream};
+use fescue_site::scripted::{End, RequestHead, ScriptedUpstream};
 
 use super::gateway::Site;
 
@@ -23,8 +23,8 @@
         .collect()
 }
 
-/// Sends one request of each kind; all upstreams answer with `answer`.
-async fn outcomes<F>(name: &str, answer: F) -> Vec<(Kind, Outcome)>
+/// Sends one request of each kind; all upstreams answer with `answer` and end their connections.
+async fn outcomes<F>(name: &str, end: End, answer: F) -> Vec<(Kind, Outcome)>
 where
     F: Fn(&RequestHead) -> String + Send + Sync + 'static,
 {
@@ -32,7 +32,9 @@
     for upstream in site.engines.iter().chain(&site.ledgers) {
         site.store.store.remove("servers", &upstream.id);
     }
-    let upstream = ScriptedUpstream::spawn(answer).await.expect("an upstream");
+    let upstream = ScriptedUpstream::spawn(end, answer)
+        .await
+        .expect("an upstream");
     for service in [ENGINES, LEDGER] {
         let entry = upstream_entry(service, upstream.address, 64, false);
         site.store.store.put("servers", service, &entry);
@@ -46,18 +48,20 @@
     seen
 }
 
+/// Returns the whole answer to a request, without a length.
+fn whole(request: &RequestHead) -> String {
+    let stream = request.line.contains("/chat/") || request.line.contains("/draft/");
+    let body = match stream {
+        true => events(request, 6),
+        false => format!("done {}", request.id),
+    };
+    head(request) + &body
+}
+
 /// Guards against refusing an answer that has neither a length nor chunks.
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_serves_an_answer_that_ends_with_its_connection() {
-    let answer = |request: &RequestHead| {
-        let stream = request.line.contains("/chat/") || request.line.contains("/draft/");
-        let body = match stream {
-            true => events(request, 6),
-            false => format!("done {}", request.id),
-        };
-        head(request) + &body
-    };
-    for (kind, seen) in outcomes("unframed", answer).await {
+    for (kind, seen) in outcomes("unframed", End::Close, whole).await {
         assert!(matches!(seen, Outcome::Served { .. }), "{kind:?}: {seen:?}");
     }
 }
@@ -66,7 +70,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_cuts_a_stream_that_ends_inside_an_event() {
     let answer = |request: &RequestHead| head(request) + &events(request, 2) + "id: 3\nda";
-    let streams = outcomes("torn", answer).await;
+    let streams = outcomes("torn", End::Close, answer).await;
     for (kind, seen) in streams.into_iter().filter(|(kind, _)| kind.is_streaming()) {
         assert!(matches!(seen, Outcome::Broken(_)), "{kind:?}: {seen:?}");
     }
@@ -76,9 +80,28 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_refuses_a_stream_that_ends_inside_its_first_event() {
     let answer = |request: &RequestHead| head(request) + "id: 1\nda";
-    let streams = outcomes("first", answer).await;
+    let streams = outcomes("first", End::Close, answer).await;
     for (kind, seen) in streams.into_iter().filter(|(kind, _)| kind.is_streaming()) {
         let failed = matches!(&seen, Outcome::Refused { status, .. } if status.as_u16() == 502);
         assert!(failed, "{kind:?}: {seen:?}");
     }
 }
+
+/// Guards against an answer without a length that looks complete although its connection was reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_serves_no_answer_whose_connection_is_reset() {
+    for (kind, seen) in outcomes("reset", End::Reset, whole).await {
+        let served = matches!(seen, Outcome::Served { .. });
+        assert!(!served, "{kind:?}: {seen:?}");
+    }
+}
+
+/// A failure without a length is passed on as the upstream gave it, also by routes for streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_passes_on_a_failure_that_ends_with_its_connection() {
+    let answer = |request: &RequestHead| head(request).replace("200 OK", "418 Failure") + "no";
+    for (kind, seen) in outcomes("failure", End::Close, answer).await {
+        let passed = matches!(&seen, Outcome::Refused { status, .. } if status.as_u16() == 418);
+        assert!(passed, "{kind:?}: {seen:?}");
+    }
+}
--- a/crates/router/tests/suite/process_endings.rs
+++ b/crates/router/tests/suite/process_endings.rs
@@ -1,20 +1,20 @@
 //! Answers of upstreams that end with their connection, and streams that end inside an event.
 
-use fescue_site::scripted::{RequestHead, ScriptedUpstream};
+use fescue_site::scripted::{End, RequestHead, ScriptedUpstream};
 use fescue_standin::caller::Request;
 use serde_json::json;
 
 use crate::process_floods::{LOAD, rules_with};
 use crate::site::{KEY, QUICK, Site, chat, purchase};
 
-/// Starts a site with one router whose only upstream answers with `answer`, and closes the connection
+/// Starts a site with one router whose only upstream answers with `answer`, and ends the connection
 /// after each answer.
-async fn start<F>(answer: F) -> (Site, ScriptedUpstream)
+async fn start<F>(end: End, answer: F) -> (Site, ScriptedUpstream)
 where
     F: Fn(&RequestHead) -> String + Send + Sync + 'static,
 {
     let site = Site::start(&["dakar-1"], 1, QUICK).await;
-    let upstream = ScriptedUpstream::spawn(move |request| {
+    let upstream = ScriptedUpstream::spawn(end, move |request| {
         if request.line.contains("/v1/load") {
             return format!("HTTP/1.1 200 OK\r\n\r\n{LOAD}");
         }
@@ -43,7 +43,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_ends_with_its_connection_is_complete() {
     let usage = json!({"choices": [], "usage": {"prompt_tokens": 3, "completion_tokens": 2}});
-    let (site, _upstream) = start(move |request| {
+    let (site, _upstream) = start(End::Close, move |request| {
         if request.line.contains("chat") {
             return events(2) + &format!("data: {usage}\n\ndata: [DONE]\n\n");
         }
@@ -66,7 +66,7 @@
         .into_iter()
         .enumerate()
     {
-        let (site, _upstream) = start(move |_| events(2) + end).await;
+        let (site, _upstream) = start(End::Close, move |_| events(2) + end).await;
         let open = site.spawn_ask(0, &chat(&format!("s-{index}"), "lot", 5));
         // A connection that breaks off is as good as an answer that is incomplete.
         if let Some(streamed) = open.await.expect("a caller") {
@@ -77,3 +77,21 @@
         assert_ne!(answer.status, 200, "{end:?}: {}", answer.body);
     }
 }
+
+/// Guards against an answer without a length that looks complete although its connection was reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_whose_connection_is_reset_is_incomplete() {
+    let (site, _upstream) = start(End::Reset, |request| match request.line.contains("chat") {
+        true => events(2),
+        false => "{\"recorded\":true}".to_owned(),
+    })
+    .await;
+    let open = site.spawn_ask(0, &chat("s-1", "lot", 5));
+    if let Some(streamed) = open.await.expect("a caller") {
+        assert!(!streamed.is_complete(), "{}", streamed.body);
+    }
+    for ask in [collected("c-1"), purchase("p-1")] {
+        let answer = site.ask(0, &ask).await;
+        assert_ne!(answer.status, 200, "{}", answer.body);
+    }
+}
