gateway: split job, upstreams and gateway by job

Choosing an upstream for an attempt, one upstream's state, and the guards of requests have files of their own. Moved only; no logic is changed.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,5 +1,7 @@
 //! An admitted request and its attempts at upstreams.
 
+mod placement;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,39 +9,25 @@
 use fescue_core::outcome::Reason;
 use fescue_core::{Execution, Refusal, TeamId, Tokens, UpstreamId};
 use fescue_policy::quarantine::{Attempt, Prints, Standing};
-use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::retry::{Failure, may_retry};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::adapter::ForwardContext;
 use crate::crash_check;
 use crate::gateway::Gateway;
 use crate::link::{Link, LinkError};
 use crate::model::{Call, Route, Service};
-use crate::permits;
 use crate::reply::{ResponseBody, full_body};
-use crate::upstreams::{BrokenRequest, Requirements, Server, Slot};
-
-/// The longest wait for an upstream to become available before the first attempt.
-const MAX_UPSTREAM_WAIT: Duration = Duration::from_secs(1);
+use crate::upstreams::{BrokenRequest, Server, Slot};
 
 /// The number of attempts that may fail without the request having run, on top of the route's
 /// attempts.
 const MAX_UNSENT_ATTEMPTS: usize = 4;
 
-/// The part of its target for which a request waits for an upstream's limit.
-const HELD_PART: u32 = 8;
-
-/// The shortest wait for an upstream's limit.
-const MIN_LIMIT_WAIT: Duration = Duration::from_millis(5);
-
-/// The number of limited upstreams that one request is tried at.
-const MAX_DENIALS: usize = 4;
-
 /// How long before the idle timeout that the upstream announced a connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -120,94 +108,6 @@
         result
     }
 
-    async fn acquire(&mut self) -> Option<Slot> {
-        let gateway = Arc::clone(&self.gateway);
-        let give_up = self.deadline.min(Instant::now() + MAX_UPSTREAM_WAIT);
-        let hold_until = Instant::now() + self.route.target / HELD_PART;
-        loop {
-            let changed = gateway.changed.notified();
-            if let Some(slot) = self.try_acquire().await {
-                self.limited = None;
-                return Some(slot);
-            }
-            if let Some(wait) = self.limited {
-                if Instant::now() + wait >= hold_until {
-                    return None;
-                }
-                sleep(wait.max(MIN_LIMIT_WAIT)).await;
-                continue;
-            }
-            if !self.tried.is_empty() || timeout_at(give_up, changed).await.is_err() {
-                return None;
-            }
-        }
-    }
-
-    /// Acquires a slot at an upstream whose limit, if it names one, allows the request.
-    async fn try_acquire(&mut self) -> Option<Slot> {
-        let claim = permits::claim(self.team.as_ref(), self.rank);
-        let mut denied = Vec::new();
-        let mut shortest: Option<Duration> = None;
-        while denied.len() < MAX_DENIALS {
-            let Some(mut slot) = self.place(&denied) else {
-                break;
-            };
-            let server = Arc::clone(slot.server());
-            let Some(rate) = server.limit(self.gateway.now()) else {
-                self.log_placed(&server, None);
-                return Some(slot);
-            };
-            match permits::take(&self.gateway, &server, rate, claim).await {
-                Ok(()) => {
-                    slot.mark_permitted();
-                    self.log_placed(&server, Some(rate));
-                    return Some(slot);
-                }
-                Err(denial) => {
-                    slot.cancel();
-                    if denial.empty {
-                        server.block(denial.wait);
-                    }
-                    denied.push(server.entry.id.clone());
-                    let wait = shortest.map_or(denial.wait, |known| known.min(denial.wait));
-                    shortest = Some(wait);
-                }
-            }
-        }
-        let servers = self.gateway.servers.lock();
-        let blocked = servers.blocked(&self.service.name, self.gateway.now());
-        self.limited = [shortest, blocked].into_iter().flatten().min();
-        None
-    }
-
-    fn place(&self, denied: &[UpstreamId]) -> Option<Slot> {
-        let requirements = Requirements {
-            service: &self.service.name,
-            prefix: self.call.shared_prefix(),
-            input: self.call.input.get(),
-            tried: &self.tried,
-            denied,
-            tie_breaker: self.prints.request,
-        };
-        let near = self.gateway.settings.data_centre.as_str();
-        let servers = self.gateway.servers.lock();
-        servers.acquire(self.gateway.now(), &requirements, near)
-    }
-
-    fn log_placed(&self, server: &Server, limit: Option<RequestRate>) {
-        let listed = self.gateway.servers.lock().len();
-        tracing::info!(
-            request = self.call.id,
-            upstream = server.entry.id.as_str(),
-            running = server.running(),
-            listed,
-            limit = limit.map(RequestRate::per_second),
-            attempt = self.tried.len() + 1,
-            ms = self.arrival.elapsed().as_millis() as u64,
-            "placed"
-        );
-    }
-
     async fn exchange(
         &mut self,
         slot: Slot,
@@ -316,14 +216,6 @@
         }
     }
 
-    /// Gives back the permit of a request that the upstream did not get, or rejected without naming a
-    /// limit.
-    fn return_permit(&self, slot: &Slot) {
-        if slot.is_permitted() {
-            permits::put_back(&self.gateway, slot.server());
-        }
-    }
-
     fn request(&self, slot: &Slot, last_event: Option<&str>) -> Request<Full<Bytes>> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let context = ForwardContext {
--- /dev/null
+++ b/crates/gateway/src/upstreams/server.rs
@@ -0,0 +1,254 @@
+//! One listed upstream: its connections, the load that this router puts on it, and what its answers told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescue_core::hash;
+use fescue_policy::limit::Breaker;
+use fescue_policy::quarantine::Attempt;
+use fescue_policy::rate_limit::{RequestRate, Statement};
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use super::Requirements;
+use crate::link::{Link, LinkError};
+use crate::model::Upstream;
+
+/// The time-out for connecting to an upstream; twice the longest latency within a region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The longest time that a connection may have been idle when it is reused.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
+
+/// The longest time that a connection may have been idle when it is reused for a request that may
+/// not be repeated.
+const MAX_IDLE_TIME_UNREPEATABLE: Duration = Duration::from_millis(1500);
+
+/// How long a connection may take to become ready for its next request.
+const RECYCLE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The largest number of idle connections that are kept per upstream.
+const MAX_IDLE_LINKS: usize = 24;
+
+/// The number of unread prompt tokens that count as much load as one running request.
+const UNREAD_TOKENS_PER_REQUEST: f64 = 4000.0;
+
+/// This router's connections and requests at one upstream.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    idle: Vec<Link>,
+    pub(super) running: u32,
+    /// Prompt tokens of requests whose first event has not arrived.
+    pub(super) unread: u64,
+    pub(super) breaker: Breaker,
+    /// The requests whose connection broke lately.
+    broken: Vec<BrokenRequest>,
+    /// What the latest answer said of the upstream's limit; `None` if nothing is known.
+    statement: Option<Statement>,
+    /// When the upstream's home can grant a request again.
+    blocked_until: Option<Instant>,
+    /// Whether a check for a crash is in progress.
+    checking: bool,
+    /// The end of the grace period of an upstream that is no longer listed; `None` while listed.
+    pub(super) grace_end: Option<Instant>,
+}
+
+/// A listed upstream with this router's state for it.
+#[derive(Debug)]
+pub struct Server {
+    /// The entry that the upstream published.
+    pub entry: Upstream,
+    pub(super) member: u64,
+    pub(super) state: Arc<Mutex<State>>,
+}
+
+/// The time within which a broken request and a refused connection count as one crash.
+const CRASH_WINDOW: Duration = Duration::from_secs(2);
+
+/// The age at which a statement about a limit is renewed by the next answer.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(15);
+
+/// The largest number of broken requests that are kept per upstream.
+const MAX_BROKEN: usize = 256;
+
+/// A request whose connection broke before its answer was complete.
+#[derive(Clone, Debug)]
+pub struct BrokenRequest {
+    /// The id of the request.
+    pub id: String,
+    /// The attempt that failed.
+    pub attempt: Attempt,
+    /// Whether the answer had begun.
+    pub begun: bool,
+    /// When the connection broke.
+    pub at: Instant,
+}
+
+impl Server {
+    pub(super) fn open(entry: Upstream) -> Self {
+        let member = hash::digest64(entry.id.as_str().as_bytes());
+        Self {
+            entry,
+            member,
+            state: Arc::default(),
+        }
+    }
+
+    /// Takes an idle connection, or opens one if none is fresh enough. `once` says that the request
+    /// may not be repeated.
+    ///
+    /// # Errors
+    ///
+    /// When no connection is established within the time-out.
+    pub async fn connect(&self, once: bool) -> Result<Link, LinkError> {
+        let longest = if once {
+            MAX_IDLE_TIME_UNREPEATABLE
+        } else {
+            MAX_IDLE_TIME
+        };
+        {
+            let mut state = self.state.lock();
+            while let Some(link) = state.idle.pop() {
+                if link.is_usable(longest) {
+                    return Ok(link);
+                }
+            }
+        }
+        self.reconnect().await
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// When no connection is established within the time-out.
+    pub async fn reconnect(&self) -> Result<Link, LinkError> {
+        Link::open(self.entry.address, CONNECT_TIMEOUT).await
+    }
+
+    /// Returns a connection to the idle pool once it is ready for another request.
+    pub fn recycle(self: &Arc<Self>, mut link: Link) {
+        let server = Arc::clone(self);
+        tokio::spawn(async move {
+            if link.wait_ready(RECYCLE_TIMEOUT).await {
+                let mut state = server.state.lock();
+                if state.idle.len() < MAX_IDLE_LINKS {
+                    state.idle.push(link);
+                }
+            }
+        });
+    }
+
+    /// Records the outcome of a request in the circuit breaker.
+    pub fn record_outcome(&self, now: Duration, good: bool) {
+        self.state.lock().breaker.record(now, good);
+    }
+
+    /// Records that a request's connection broke, and drops the idle connections. Returns whether
+    /// the upstream has to be checked for a crash, which ends with [`Self::take_broken`].
+    pub fn record_disconnect(&self, broken: BrokenRequest) -> bool {
+        let mut state = self.state.lock();
+        state.idle.clear();
+        if state.broken.len() < MAX_BROKEN {
+            state.broken.push(broken);
+        }
+        !std::mem::replace(&mut state.checking, true)
+    }
+
+    /// Takes the requests whose connection broke within the crash window.
+    pub fn take_broken(&self) -> Vec<BrokenRequest> {
+        let mut state = self.state.lock();
+        state.checking = false;
+        let mut broken = std::mem::take(&mut state.broken);
+        broken.retain(|request| request.at.elapsed() < CRASH_WINDOW);
+        broken
+    }
+
+    /// Takes over what an answer said of the limit, unless a later one is known or there is no limit
+    /// to be ended; returns whether it differs from what was known, or renews an old statement.
+    pub fn record_statement(&self, statement: Statement) -> bool {
+        let mut state = self.state.lock();
+        let Some(known) = state.statement else {
+            if statement.rate.is_some() {
+                state.statement = Some(statement);
+            }
+            return statement.rate.is_some();
+        };
+        if known.at >= statement.at {
+            return false;
+        }
+        let unchanged = known.rate == statement.rate;
+        let fresh = statement.at.saturating_sub(known.at) < RENEWAL_INTERVAL;
+        if unchanged && (fresh || statement.rate.is_none()) {
+            return false;
+        }
+        state.statement = Some(statement);
+        true
+    }
+
+    /// Returns what is known of the limit.
+    pub fn statement(&self) -> Option<Statement> {
+        self.state.lock().statement
+    }
+
+    /// Returns the limit in force.
+    pub fn limit(&self, now: Duration) -> Option<RequestRate> {
+        self.state.lock().statement?.limit(now)
+    }
+
+    /// Gives the upstream no request for some time, since its limit is used up.
+    pub fn block(&self, wait: Duration) {
+        self.state.lock().blocked_until = Some(Instant::now() + wait);
+    }
+
+    /// Returns how long the upstream's limit allows no request; `None` if it may allow one now.
+    pub(super) fn blocked(&self, now: Duration) -> Option<Duration> {
+        let state = self.state.lock();
+        state.statement?.limit(now)?;
+        let until = state.blocked_until?;
+        let left = until.saturating_duration_since(Instant::now());
+        Some(left).filter(|left| !left.is_zero())
+    }
+
+    /// Returns the number of this router's requests that are running there.
+    pub fn running(&self) -> u32 {
+        self.state.lock().running
+    }
+
+    pub(super) fn load(&self) -> f64 {
+        let state = self.state.lock();
+        let work = f64::from(state.running) + state.unread as f64 / UNREAD_TOKENS_PER_REQUEST;
+        work / f64::from(self.entry.slots.max(1))
+    }
+
+    pub(super) fn mark_missing(&self, grace: Duration) {
+        let mut state = self.state.lock();
+        state
+            .grace_end
+            .get_or_insert_with(|| Instant::now() + grace);
+    }
+
+    /// Returns whether the upstream is listed or still in its grace period.
+    pub(super) fn is_listed(&self) -> bool {
+        let grace_end = self.state.lock().grace_end;
+        grace_end.is_none_or(|until| Instant::now() < until)
+    }
+
+    /// Returns whether the upstream may get new requests.
+    pub fn is_usable(&self) -> bool {
+        !self.entry.draining && self.is_listed()
+    }
+
+    pub(super) fn accepts(&self, now: Duration) -> bool {
+        self.is_usable() && self.state.lock().breaker.allows(now)
+    }
+
+    /// Returns whether a request with these requirements may be sent there, apart from the circuit
+    /// breaker.
+    pub(super) fn fits(&self, requirements: &Requirements<'_>, now: Duration) -> bool {
+        self.entry.service == *requirements.service
+            && !requirements.tried.contains(&self.entry.id)
+            && !requirements.denied.contains(&self.entry.id)
+            && self.blocked(now).is_none()
+    }
+}
