gateway: send requests that limits deny to upstreams without one

What callers would have seen: 429 while an upstream was free. A request was tried at four upstreams with limits at most and then refused, though others named none; with many limited upstreams of low load, these come first.

Change: after four denials only upstreams without a limit are chosen.

--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -53,10 +53,7 @@
         let claim = permits::claim(self.team.as_ref(), self.rank);
         let mut denied = Vec::new();
         let mut shortest: Option<Duration> = None;
-        while denied.len() < MAX_DENIALS {
-            let Some(mut slot) = self.place(&denied) else {
-                break;
-            };
+        while let Some(mut slot) = self.place(&denied) {
             let server = Arc::clone(slot.server());
             let Some(rate) = server.limit(self.gateway.now()) else {
                 self.log_placed(&server, None);
@@ -86,12 +83,15 @@
     }
 
     fn place(&self, denied: &[UpstreamId]) -> Option<Slot> {
+        // After some denials only upstreams without a limit are left to try.
+        let limited = denied.len() < MAX_DENIALS;
         let requirements = Requirements {
             service: &self.service.name,
             prefix: self.call.shared_prefix(),
             input: self.call.input.get(),
             tried: &self.tried,
             denied,
+            limited,
             tie_breaker: self.prints.request,
         };
         let near = self.gateway.settings.data_centre.as_str();
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -70,6 +70,8 @@
     pub tried: &'a [UpstreamId],
     /// The upstreams whose limits allow this request none now.
     pub denied: &'a [UpstreamId],
+    /// Whether upstreams that name a limit may be chosen.
+    pub limited: bool,
     /// A hash of the request, which decides between equal candidates.
     pub tie_breaker: u64,
 }
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -250,5 +250,6 @@
             && !requirements.tried.contains(&self.entry.id)
             && !requirements.denied.contains(&self.entry.id)
             && self.blocked(now).is_none()
+            && (requirements.limited || self.limit(now).is_none())
     }
 }
--- a/crates/gateway/tests/suite/upstreams.rs
+++ b/crates/gateway/tests/suite/upstreams.rs
@@ -32,6 +32,7 @@
         input: 0,
         tried: &[],
         denied: &[],
+        limited: true,
         tie_breaker: 1,
     };
     servers.acquire(Duration::ZERO, &requirements, "here")
--- a/crates/router/tests/suite/gateway_limits.rs
+++ b/crates/router/tests/suite/gateway_limits.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use fescue_site::caller::{Kind, Outcome, send};
-use fescue_site::engine::Faults;
+use fescue_site::engine::{Faults, Upstream};
+use fescue_site::manifest::ENGINES;
 use fescue_site::process::Gateway;
 use rustix::process::Signal;
 use tokio::task::JoinSet;
@@ -138,3 +139,33 @@
     let used = served(&outcomes);
     assert!(used * 5 >= 36 * 4, "{used} served");
 }
+
+/// Guards against refusals while an upstream is free: with limits at most engines, a burst of requests that
+/// these deny goes to the one that names none.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_finds_the_one_upstream_without_a_limit() {
+    const LIMITED: usize = 16;
+    let mut site = Site::open("most", 10_000_000).await;
+    for index in 2..=LIMITED {
+        let engine = Upstream::spawn(&format!("e-{index}"), &site.record).await;
+        let engine = engine.expect("an engine");
+        site.register(&engine, ENGINES, false);
+        site.engines.push(engine);
+    }
+    let gateways = [site.ready("vm-1").await, site.ready("vm-2").await];
+    // A permit of the other router takes a message, so that the requests of a burst are denied together.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    name_limit(&site, LIMITED, Some(LIMIT_MILLI));
+    load(&site, &gateways, "a", Duration::from_secs(4)).await;
+    for burst in 0..3 {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let mut open = JoinSet::new();
+        for number in 0..120 {
+            let ask = site.ask(Kind::Draft, &format!("b-{burst}-{number}"));
+            let callers = gateways[number % 2].ports.callers;
+            open.spawn(async move { send(callers, &ask).await });
+        }
+        let outcomes = open.join_all().await;
+        assert_eq!(served(&outcomes), outcomes.len(), "burst {burst}");
+    }
+}
