gateway: resume streams only at the version that began them

What callers saw: streams that hold events of two software versions of an upstream, with nothing in the answer to show it.

Cause: what may go on with a stream was decided by placement, which looks at the service and at load. The version in an upstream's entry was read and thrown away, and nothing read which attempt a caller resumes. So a router went on at any version within one answer, and placed a caller's later attempt like a new request.

Change: the origin of a stream (service, software version, version of weights) is taken from the process that brought its first event. A stream goes on only at upstreams like it, within one answer and when its caller takes it up at any router. Routers tell two others of each new stream and write the open ones to the store in batches, so that also a router that has forgotten everything knows it. What can't be served is refused at once, as not run.

Ruled out: a choice of version that all routers compute from the attempt's id, as it is ambiguous for a caller's deadline after each change of the versions in service; the version listed at the time of the take-up, which joins streams.

The entry of a process that is known to have ended names no version until a new one is published.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -108,6 +108,9 @@
     pub engine: bool,
     /// The id of the last relayed event when a stream is resumed.
     pub last_event: Option<&'a str>,
+    /// The version of the weights with which a resumed stream began; an upstream with others must decline
+    /// the request. `None` if it isn't known.
+    pub weights: Option<u64>,
 }
 
 /// What an upstream states in the headers of its response.
@@ -119,6 +122,8 @@
     pub misdirected: bool,
     /// The id of the request that the response belongs to; `None` if not stated.
     pub id: Option<String>,
+    /// The version of the model's weights at the start of the response; `None` if not stated.
+    pub weights: Option<u64>,
     /// Whether the response carries the upstream's signature.
     pub signed: bool,
     /// The rate of requests that the upstream takes from all routers together; `None` if not stated.
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -56,6 +56,10 @@
 /// An upstream that is about to leave, or that is no longer listed, ended for another reason.
 pub fn record(gateway: &Gateway, server: &Server) {
     let broken = server.take_broken();
+    // A process that still runs other requests has not ended; it may refuse connections for a while.
+    if !broken.is_empty() || server.running() <= 1 {
+        server.mark_ended();
+    }
     let listed = {
         let servers = gateway.servers.lock();
         let current = servers.get(&server.entry.id);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::lifecycle::{Event, Lifecycle, Phase};
 use crate::link_use::LinkUsage;
 use crate::metrics::Metrics;
+use crate::origins::Origins;
 use crate::peers::Peers;
 use crate::permits::Permits;
 use crate::settings::{Settings, Tuning};
@@ -71,6 +72,8 @@
     pub peers: Mutex<Peers>,
     /// The permits for requests to upstreams that name limits.
     pub permits: Permits,
+    /// The upstream versions that began streams.
+    pub origins: Origins,
     /// The use of the VM's network link.
     pub link: LinkUsage,
     /// The state of token requests between routers.
@@ -130,6 +133,7 @@
             outbox: Outbox::default(),
             peers,
             permits: Permits::default(),
+            origins: Origins::default(),
             link,
             handover: Mutex::default(),
             peer_replies: watch::Sender::new(0),
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -23,6 +23,7 @@
 
 use crate::gateway::Gateway;
 use crate::gossip::{self, Findings};
+use crate::origins::{self, BegunStream, Inquiry};
 use crate::permits::{self, Question, Refund};
 use asks::Asks;
 pub use asks::{Outcome, RETRY_INTERVAL, ask};
@@ -69,6 +70,12 @@
     Refund(Refund),
     /// Tells of the sender's row of licenses; it has no answer.
     Row(Box<RowCopy>),
+    /// Tells which upstream version began a stream; it has no answer.
+    Begun(BegunStream),
+    /// Asks which upstream version began a stream.
+    Inquiry(Inquiry),
+    /// Answers an [`Inquiry`].
+    Origin(origins::Answer),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -263,6 +270,15 @@
             gateway.settlement.receive(*copy);
             None
         }
+        Ok(Message::Begun(begun)) => {
+            origins::take_over(gateway, begun);
+            None
+        }
+        Ok(Message::Inquiry(inquiry)) => Some(Message::Origin(origins::answer(gateway, inquiry))),
+        Ok(Message::Origin(answer)) => {
+            origins::receive(gateway, answer);
+            None
+        }
         Ok(Message::Findings(findings)) => {
             gossip::receive(gateway, &findings);
             None
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! An admitted request and its attempts at upstreams.
 
+mod continuation;
 mod placement;
 mod withdrawal;
 
@@ -23,6 +24,7 @@
 use crate::gateway::Gateway;
 use crate::link::{Link, LinkError};
 use crate::model::{Call, Route, Service};
+use crate::origins::Continuation;
 use crate::pipeline::refuse_stopping;
 use crate::reply::{ResponseBody, full_body};
 use crate::upstreams::{Block, BrokenRequest, Server, Slot};
@@ -38,6 +40,9 @@
 /// `Retry-After` when no upstream accepted the request.
 const RETRY_AFTER_DECLINED: Duration = Duration::from_millis(300);
 
+/// `Retry-After` when no upstream of a version is left: one that has crashed may be back by then.
+const RETRY_AFTER_VERSION: Duration = Duration::from_secs(1);
+
 /// An admitted request, with the state of its attempts.
 pub struct Job {
     /// The gateway's shared state.
@@ -76,6 +81,8 @@
     pub unplaced: bool,
     /// Whether the request was not sent because the process stops before it could end.
     pub stopping: bool,
+    /// Which upstreams may run the request, given what its caller has of the answer.
+    pub continuation: Continuation,
 }
 
 /// An upstream's response whose head has arrived.
@@ -86,6 +93,8 @@
     pub link: Link,
     /// The slot that the request occupies at the upstream.
     pub slot: Slot,
+    /// The version of the weights that the response begins with.
+    pub weights: Option<u64>,
 }
 
 impl Job {
@@ -230,6 +239,7 @@
             response,
             link,
             slot,
+            weights: meta.weights,
         })
     }
 
@@ -267,6 +277,7 @@
             rank: self.rank,
             engine: self.service.engine.is_some(),
             last_event,
+            weights: self.continuation.origin().and_then(|origin| origin.weights),
         };
         let headers = self.gateway.codec.encode(&self.head, &context);
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -289,7 +300,7 @@
         if !may_retry(failure, repeat, self.route.resumable) || Instant::now() >= self.deadline {
             return false;
         }
-        if self.stopping || self.unplaced {
+        if self.stopping || self.unplaced || !self.can_continue() {
             return false;
         }
         if self.tried.len() >= MAX_UNSENT_ATTEMPTS + self.route.attempts as usize {
@@ -323,6 +334,11 @@
             if let Some(block) = self.limited.or_else(|| self.all_blocked()) {
                 return refuse_blocked(block);
             }
+            if !self.can_continue() {
+                let message = "no upstream of the version that began the stream is left";
+                return Refusal::not_run(Reason::NoUpstream, message)
+                    .with_retry_after(RETRY_AFTER_VERSION);
+            }
             let message = "no upstream took the request";
             return Refusal::not_run(Reason::NoUpstream, message)
                 .with_retry_after(RETRY_AFTER_DECLINED);
--- /dev/null
+++ b/crates/gateway/src/job/continuation.rs
@@ -0,0 +1,61 @@
+//! Streams that have begun, which go on only at upstreams like the one that began them.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Job;
+use crate::origins::{self, Continuation, Origin, StreamKey};
+use crate::upstreams::Server;
+
+impl Job {
+    /// Returns the key under which the origin of this request's stream is kept.
+    pub fn stream_key(&self) -> StreamKey {
+        StreamKey::new(self.team.as_ref(), &self.call.id)
+    }
+
+    /// Records which upstream brought the first event of a new stream, before the event is forwarded.
+    pub fn record_origin(&mut self, server: &Server, weights: Option<u64>) {
+        if self.continuation != Continuation::Fresh {
+            return;
+        }
+        let Some(version) = server.version() else {
+            self.continuation = Continuation::Unknown;
+            return;
+        };
+        let origin = Origin {
+            service: self.service.name.clone(),
+            version: version.clone(),
+            weights,
+        };
+        if self.route.resumable && !self.call.id.is_empty() {
+            origins::record(&self.gateway, self.stream_key(), &origin, self.give_up());
+        }
+        self.continuation = Continuation::Of(origin);
+    }
+
+    /// Returns whether an answer comes from other weights than those that began the stream.
+    pub fn has_other_weights(&self, weights: Option<u64>) -> bool {
+        let began = self.continuation.origin().and_then(|origin| origin.weights);
+        weights.is_some() && began.is_some() && weights != began
+    }
+
+    /// Returns whether a stream that has begun can go on at any upstream but those tried. A new request can
+    /// always wait for one.
+    pub fn can_continue(&self) -> bool {
+        match &self.continuation {
+            Continuation::Fresh => true,
+            Continuation::Unknown => false,
+            Continuation::Of(_) => {
+                let servers = self.gateway.servers.lock();
+                servers.can_serve(&self.requirements(&[]))
+            }
+        }
+    }
+
+    /// Returns when the caller gives the request up, its own later attempts included.
+    fn give_up(&self) -> Instant {
+        let patience = self.call.deadline.unwrap_or(Duration::ZERO);
+        self.arrival + patience.max(self.route.timeout)
+    }
+}
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::Job;
+use crate::origins::Continuation;
 use crate::permits;
 use crate::upstreams::{Block, Requirements, Server, Slot};
 
@@ -46,7 +47,7 @@
                 sleep(wait.max(MIN_LIMIT_WAIT)).await;
                 continue;
             }
-            let exhausted = self.sends == 0 && !self.tried.is_empty();
+            let exhausted = self.sends == 0 && !self.tried.is_empty() || !self.can_continue();
             if exhausted || timeout_at(give_up, changed).await.is_err() {
                 return None;
             }
@@ -91,18 +92,26 @@
         None
     }
 
-    fn place(&self, denied: &[UpstreamId]) -> Option<Slot> {
-        // After some denials only upstreams without a limit are left to try.
-        let limited = denied.len() < MAX_DENIALS;
-        let requirements = Requirements {
+    /// Returns what an upstream must be like to get the request.
+    pub(super) fn requirements<'a>(&'a self, denied: &'a [UpstreamId]) -> Requirements<'a> {
+        Requirements {
             service: &self.service.name,
             prefix: self.call.shared_prefix(),
             input: self.call.input.get(),
+            origin: self.continuation.origin(),
             tried: &self.tried,
             denied,
-            limited,
+            // After some denials only upstreams without a limit are left to try.
+            limited: denied.len() < MAX_DENIALS,
             tie_breaker: self.prints.request,
-        };
+        }
+    }
+
+    fn place(&self, denied: &[UpstreamId]) -> Option<Slot> {
+        if self.continuation == Continuation::Unknown {
+            return None;
+        }
+        let requirements = self.requirements(denied);
         let near = self.gateway.settings.data_centre.as_str();
         let servers = self.gateway.servers.lock();
         servers.acquire(self.gateway.now(), &requirements, near)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A gateway accepts any request whose host and path match a route, and forwards it to an upstream
 //! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`fleet`],
-//! [`gossip`], [`handover`], [`link_use`], [`permits`] and [`reload`] are the controllers; [`gateway`] holds the state that
+//! [`gossip`], [`handover`], [`link_use`], [`origins`], [`permits`] and [`reload`] are the controllers; [`gateway`] holds the state that
 //! they share, and [`adapter`] the traits that connect a platform. The design is in
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
@@ -26,6 +26,7 @@
 pub mod malformed;
 pub mod metrics;
 pub mod model;
+pub mod origins;
 pub mod peers;
 pub mod permits;
 pub mod pipeline;
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fescue_core::{DataCentreId, ServiceId, TeamId, Tokens, UpstreamId};
+use fescue_core::{DataCentreId, ServiceId, SoftwareVersion, TeamId, Tokens, UpstreamId};
 use indexmap::IndexMap;
 
 /// Whether a route's requests may be repeated, and how they are answered.
@@ -133,6 +133,9 @@
     pub address: SocketAddr,
     /// The data centre that it runs in.
     pub data_centre: DataCentreId,
+    /// The version of its software; `None` if it names none that can be read. Its streams can then not be
+    /// resumed at another upstream.
+    pub version: Option<SoftwareVersion>,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is shutting down and takes no new requests.
@@ -184,6 +187,8 @@
     pub parts: Vec<Part>,
     /// The id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<String>,
+    /// The id of the caller's attempt that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<String>,
 }
 
 /// One part of a prompt.
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,172 @@
+//! Remembers which upstream version began each stream, so that it goes on only there.
+//!
+//! Several versions of an upstream's software may serve side by side, and what two of them write doesn't
+//! fit together. A caller whose stream broke off names the attempt that brought its first event, at any
+//! router. Each router keeps the origins of its own streams, tells one or two others at once ([`lookup`]),
+//! and writes those that still run to the store ([`rows`]). A stream of unknown origin is never resumed.
+//! See [docs/design/versions.md](../../../docs/design/versions.md).
+
+mod lookup;
+mod rows;
+
+use std::time::Duration;
+
+use fescue_core::{ServiceId, SoftwareVersion, TeamId, hash, record};
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::gateway::Gateway;
+pub use lookup::{Answer, BegunStream, Inquiry, Missing, answer, find, receive, take_over};
+pub use rows::run;
+
+/// The largest number of streams whose origins are kept.
+const MAX_STREAMS: usize = 1 << 16;
+
+/// The time beyond the caller's deadline for which an origin is kept.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
+
+/// The longest time for which an origin is kept.
+const MAX_LIFETIME: Duration = Duration::from_secs(300);
+
+/// Identifies a stream: the hash of its team and of the attempt that brought its first event. A team can't
+/// name the streams of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamKey(u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that an attempt of a team began.
+    pub fn new(team: Option<&TeamId>, attempt: &str) -> Self {
+        let team = team.map_or("", TeamId::as_str);
+        Self(hash::digest64(format!("{team} {attempt}").as_bytes()))
+    }
+}
+
+record! {
+    /// What the upstream was that began a stream.
+    pub struct Origin {
+        /// Its service.
+        pub service: ServiceId,
+        /// The version of its software.
+        pub version: SoftwareVersion,
+        /// The version of its model's weights; `None` if it named none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub weights: Option<u64>,
+    }
+}
+
+/// The upstreams that may run a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Continuation {
+    /// The caller has no events yet: all of the service.
+    #[default]
+    Fresh,
+    /// The caller has events: those that are like the upstream that began.
+    Of(Origin),
+    /// The caller has events of an upstream that names no version: none.
+    Unknown,
+}
+
+impl Continuation {
+    /// Returns what the upstream must be like; `None` if any, or none, may run the request.
+    pub fn origin(&self) -> Option<&Origin> {
+        match self {
+            Self::Of(origin) => Some(origin),
+            Self::Fresh | Self::Unknown => None,
+        }
+    }
+}
+
+/// What is known of one stream.
+#[derive(Debug)]
+struct Known {
+    /// `None` if two streams of different origins claim the same key.
+    origin: Option<Origin>,
+    expiry: Instant,
+    /// Whether this router relays the stream and has not relayed its end.
+    open: bool,
+}
+
+/// The origins that this router knows.
+#[derive(Debug, Default)]
+pub struct Origins {
+    known: Mutex<IndexMap<StreamKey, Known>>,
+    inquiries: lookup::Inquiries,
+    scans: rows::Scans,
+}
+
+impl Origins {
+    /// Records the origin of a stream that can be resumed for `lifetime`; `open` tells whether this router
+    /// relays it.
+    fn record(&self, key: StreamKey, origin: Origin, lifetime: Duration, open: bool) {
+        let expiry = Instant::now() + lifetime.min(MAX_LIFETIME);
+        let mut known = self.known.lock();
+        if let Some(entry) = known.get_mut(&key) {
+            if entry.origin.as_ref() != Some(&origin) {
+                tracing::warn!(stream = key.0, ?origin, before = ?entry.origin, "two streams claim one attempt; neither can be resumed");
+                entry.origin = None;
+            }
+            entry.expiry = entry.expiry.max(expiry);
+            return;
+        }
+        if known.len() >= MAX_STREAMS {
+            // Evicts the oldest half at once, since removing the first entry shifts all others.
+            tracing::warn!(
+                streams = known.len(),
+                "too many streams; dropping the origins of the oldest"
+            );
+            known.drain(..MAX_STREAMS / 2);
+        }
+        let origin = Some(origin);
+        known.insert(
+            key,
+            Known {
+                origin,
+                expiry,
+                open,
+            },
+        );
+    }
+
+    /// Returns the origin of a stream; `Some(None)` if it is ambiguous, `None` if it is not known here.
+    fn get(&self, key: StreamKey) -> Option<Option<Origin>> {
+        let known = self.known.lock();
+        let entry = known.get(&key)?;
+        (Instant::now() < entry.expiry).then(|| entry.origin.clone())
+    }
+
+    /// Records that the end of a stream was relayed, so that few callers will resume it.
+    pub fn close(&self, key: StreamKey) {
+        if let Some(entry) = self.known.lock().get_mut(&key) {
+            entry.open = false;
+        }
+    }
+
+    /// Drops the origins of streams that nobody resumes any more.
+    fn drop_expired(&self) {
+        let now = Instant::now();
+        self.known.lock().retain(|_, entry| now < entry.expiry);
+    }
+
+    /// Returns the streams that this router relays, with the time for which each can be resumed.
+    fn open(&self) -> Vec<(StreamKey, Origin, Duration)> {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let open = known.iter().filter(|(_, entry)| entry.open);
+        let open = open.filter_map(|(key, entry)| {
+            let left = entry.expiry.saturating_duration_since(now);
+            Some((*key, entry.origin.clone()?, left))
+        });
+        open.collect()
+    }
+}
+
+/// Records the origin of a stream whose first event has arrived, and tells other routers. The caller may
+/// resume it until `deadline`.
+pub fn record(gateway: &Gateway, key: StreamKey, origin: &Origin, deadline: Instant) {
+    let lifetime = deadline.saturating_duration_since(Instant::now()) + EXPIRY_MARGIN;
+    gateway.origins.record(key, origin.clone(), lifetime, true);
+    lookup::tell(gateway, key, origin, lifetime);
+}
--- /dev/null
+++ b/crates/gateway/src/origins/lookup.rs
@@ -0,0 +1,193 @@
+//! Finds the origin of a stream that another router began: asks other routers, then reads the store.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use super::{Origin, StreamKey, rows};
+use crate::gateway::Gateway;
+use crate::handover::Message;
+
+/// The number of other routers that are told of a stream, and the size of the fleet from which on only one
+/// is, so that the datagrams of a large fleet stay within its limits.
+const TOLD_ROUTERS: usize = 2;
+const LARGE_FLEET: usize = 100;
+
+/// The number of other routers that are asked; more than are told, as routers may know different peers.
+const ASKED_ROUTERS: usize = 8;
+
+/// The time to wait for answers before the question is sent again; longer than the longest round trip
+/// within a region.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// The number of times that a question is sent.
+const MAX_SENDS: u32 = 2;
+
+/// Tells another router of a stream that has begun.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BegunStream {
+    key: StreamKey,
+    origin: Origin,
+    /// How long the caller may resume it.
+    #[serde(rename = "left_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    lifetime: Duration,
+}
+
+/// Asks another router for the origin of a stream.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Inquiry {
+    number: u64,
+    key: StreamKey,
+}
+
+/// Answers an [`Inquiry`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    number: u64,
+    origin: Option<Origin>,
+    /// Whether two streams claim the key.
+    ambiguous: bool,
+}
+
+/// The inquiries that wait for answers, by number.
+#[derive(Debug, Default)]
+pub(super) struct Inquiries(Mutex<HashMap<u64, mpsc::UnboundedSender<Answer>>>);
+
+/// Why the origin of a stream can't be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Missing {
+    /// Nobody knows it, and nobody will.
+    Unknown,
+    /// Two streams of different origins claim the attempt.
+    Ambiguous,
+    /// No router that was asked knows it, and the store can't be read now.
+    Unavailable,
+}
+
+/// Tells other routers, which the key selects, of a stream that has begun here.
+pub(super) fn tell(gateway: &Gateway, key: StreamKey, origin: &Origin, lifetime: Duration) {
+    let told = match gateway.routers() {
+        routers if routers > LARGE_FLEET => 1,
+        _ => TOLD_ROUTERS,
+    };
+    let peers = gateway.peers.lock().select(key.0, told);
+    let handover = gateway.handover.lock();
+    for peer in peers {
+        let origin = origin.clone();
+        let begun = BegunStream {
+            key,
+            origin,
+            lifetime,
+        };
+        handover.send(peer, Message::Begun(begun));
+    }
+}
+
+/// Takes over what another router tells of a stream.
+pub fn take_over(gateway: &Gateway, begun: BegunStream) {
+    let BegunStream {
+        key,
+        origin,
+        lifetime,
+    } = begun;
+    gateway.origins.record(key, origin, lifetime, false);
+}
+
+/// Answers another router's inquiry from what this one knows.
+pub fn answer(gateway: &Gateway, inquiry: Inquiry) -> Answer {
+    let known = gateway.origins.get(inquiry.key);
+    Answer {
+        number: inquiry.number,
+        ambiguous: known == Some(None),
+        origin: known.flatten(),
+    }
+}
+
+/// Passes an answer on to the request that waits for it. An answer that comes too late is dropped.
+pub fn receive(gateway: &Gateway, answer: Answer) {
+    let open = gateway.origins.inquiries.0.lock();
+    if let Some(waiting) = open.get(&answer.number) {
+        // The request may have ended.
+        let _ended = waiting.send(answer);
+    }
+}
+
+/// Finds the origin of a stream, by `limit` at the latest.
+///
+/// # Errors
+///
+/// Why it can't be told.
+pub async fn find(gateway: &Gateway, key: StreamKey, limit: Instant) -> Result<Origin, Missing> {
+    let arrival = Instant::now();
+    let known = |origin: Option<Origin>| origin.ok_or(Missing::Ambiguous);
+    if let Some(origin) = gateway.origins.get(key) {
+        return known(origin);
+    }
+    if let Some(origin) = ask(gateway, key, limit).await {
+        return known(origin);
+    }
+    let scanned = timeout_at(limit, rows::scan_since(gateway, arrival)).await;
+    match gateway.origins.get(key) {
+        Some(origin) => known(origin),
+        None if matches!(scanned, Ok(Ok(()))) => Err(Missing::Unknown),
+        None => Err(Missing::Unavailable),
+    }
+}
+
+/// Asks other routers at once; returns the first answer of one that knows the stream.
+async fn ask(gateway: &Gateway, key: StreamKey, limit: Instant) -> Option<Option<Origin>> {
+    let peers = gateway.peers.lock().select(key.0, ASKED_ROUTERS);
+    if peers.is_empty() {
+        return None;
+    }
+    let number = rand::random();
+    let (sender, mut answers) = mpsc::unbounded_channel();
+    gateway.origins.inquiries.0.lock().insert(number, sender);
+    let _open = OpenInquiry { gateway, number };
+    for _ in 0..MAX_SENDS {
+        send(gateway, &peers, Inquiry { number, key });
+        let until = limit.min(Instant::now() + ANSWER_TIMEOUT);
+        let mut waiting = peers.len();
+        while waiting > 0 {
+            let Ok(Some(answer)) = timeout_at(until, answers.recv()).await else {
+                break;
+            };
+            waiting -= 1;
+            if answer.ambiguous || answer.origin.is_some() {
+                return Some(answer.origin);
+            }
+        }
+        if waiting == 0 {
+            break;
+        }
+    }
+    None
+}
+
+fn send(gateway: &Gateway, peers: &[SocketAddr], inquiry: Inquiry) {
+    let handover = gateway.handover.lock();
+    for peer in peers {
+        handover.send(*peer, Message::Inquiry(inquiry));
+    }
+}
+
+/// A guard that ends the wait for answers when it is dropped, also by a caller that disconnects.
+struct OpenInquiry<'a> {
+    gateway: &'a Gateway,
+    number: u64,
+}
+
+impl Drop for OpenInquiry<'_> {
+    fn drop(&mut self) {
+        let inquiries = &self.gateway.origins.inquiries;
+        inquiries.0.lock().remove(&self.number);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/origins/rows.rs
@@ -0,0 +1,225 @@
+//! The rows that hold the origins of streams that still run, one for each router process.
+//!
+//! A row says what was true when it was written, and stays true: a stream has one origin. So a row of a
+//! process that has ended, or one from an older copy of the store, can be believed until it expires.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescue_core::{Era, ServiceId, SoftwareVersion, record};
+use fescue_store::table::{Commit, Put, Row, TableError, Transaction, scan_all};
+use parking_lot::Mutex;
+use tokio::time::{Instant, sleep};
+
+use super::{Origin, StreamKey};
+use crate::gateway::Gateway;
+use crate::malformed::MalformedRows;
+
+/// Key prefix of the rows.
+const PREFIX: &str = "streams/";
+
+/// Interval between two writes of a router in a small fleet. What began later when all routers are killed
+/// can't be resumed.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The part of the interval that each router of the fleet adds, which bounds the writes of all routers
+/// together to 80 a second.
+const INTERVAL_PER_ROUTER: Duration = Duration::from_micros(12_500);
+
+/// Interval between two reads of all rows.
+const MIN_SCAN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Delay before the rows are read again after a failure.
+const FAILURE_BACKOFF: Duration = Duration::from_millis(300);
+
+/// The largest number of streams in one row, well within its size limit.
+const MAX_ROW_STREAMS: usize = 1500;
+
+/// Time after its expiry at which a row is deleted.
+const DELETE_AFTER: Duration = Duration::from_secs(10);
+
+/// The largest number of rows that one transaction deletes.
+const MAX_DELETED: usize = 50;
+
+record! {
+    /// The streams of one process, grouped by origin.
+    struct StreamRow {
+        /// When the last of them expires, on the store's clock.
+        until_ms: u64,
+        groups: Vec<Group>,
+    }
+
+    struct Group {
+        service: ServiceId,
+        version: SoftwareVersion,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        weights: Option<u64>,
+        streams: Vec<StreamKey>,
+    }
+}
+
+/// The reads of the rows.
+#[derive(Debug, Default)]
+pub(super) struct Scans {
+    /// When the latest successful read began. Held while a read is under way.
+    latest: tokio::sync::Mutex<Option<Instant>>,
+    malformed: Mutex<MalformedRows>,
+}
+
+/// Reads the rows of former processes, then writes this one's for as long as the process runs.
+pub async fn run(gateway: Arc<Gateway>) {
+    while let Err(error) = scan_since(&gateway, Instant::now()).await {
+        tracing::info!(%error, "origins of streams not read; retrying");
+        sleep(FAILURE_BACKOFF).await;
+    }
+    let mut writer = Writer::default();
+    loop {
+        let interval = INTERVAL_PER_ROUTER * gateway.routers() as u32;
+        sleep(interval.max(MIN_WRITE_INTERVAL)).await;
+        gateway.origins.drop_expired();
+        writer.round(&gateway).await;
+    }
+}
+
+/// What this process has written.
+#[derive(Default)]
+struct Writer {
+    written: HashSet<StreamKey>,
+    era: Option<Era>,
+}
+
+impl Writer {
+    /// Writes the row if it lacks a stream, or if the store may have lost it.
+    async fn round(&mut self, gateway: &Gateway) {
+        let mut open = gateway.origins.open();
+        let surplus = open.len().saturating_sub(MAX_ROW_STREAMS);
+        if surplus > 0 {
+            tracing::warn!(
+                surplus,
+                "too many open streams for one row; leaving out the oldest"
+            );
+            open.drain(..surplus);
+        }
+        let era = gateway.table.era();
+        let lost = Era::differ(self.era, era);
+        if open.is_empty() || !lost && open.iter().all(|(key, ..)| self.written.contains(key)) {
+            return;
+        }
+        let written = write(gateway, &open).await;
+        gateway.metrics.count_store("streams", written.is_ok());
+        match written {
+            Ok(_) => {
+                self.written = open.iter().map(|(key, ..)| *key).collect();
+                self.era = era;
+            }
+            Err(error) => {
+                tracing::info!(%error, streams = open.len(), "origins of streams not written; retrying");
+            }
+        }
+    }
+}
+
+async fn write(
+    gateway: &Gateway,
+    open: &[(StreamKey, Origin, Duration)],
+) -> Result<Commit, TableError> {
+    let left = open.iter().map(|(_, _, left)| *left).max();
+    let clock = gateway.table.clock().unwrap_or_default();
+    let until = clock + left.unwrap_or_default();
+    let mut row = StreamRow {
+        until_ms: until.as_millis() as u64,
+        groups: Vec::new(),
+    };
+    for (key, origin, _) in open {
+        let same = |group: &&mut Group| {
+            group.service == origin.service
+                && group.version == origin.version
+                && group.weights == origin.weights
+        };
+        match row.groups.iter_mut().find(same) {
+            Some(group) => group.streams.push(*key),
+            None => row.groups.push(Group {
+                service: origin.service.clone(),
+                version: origin.version.clone(),
+                weights: origin.weights,
+                streams: vec![*key],
+            }),
+        }
+    }
+    let (vm, process) = (&gateway.settings.vm, gateway.incarnation);
+    let mut transaction = Transaction::default();
+    let key = format!("{PREFIX}{vm}-{process}");
+    transaction.put.push(Put::encode(key, &row));
+    gateway.table.transact(&transaction).await
+}
+
+/// Reads all rows, unless a read that began at `since` or later has succeeded.
+///
+/// # Errors
+///
+/// Fails if the rows can't be read.
+pub(super) async fn scan_since(gateway: &Gateway, since: Instant) -> Result<(), TableError> {
+    let mut latest = gateway.origins.scans.latest.lock().await;
+    if latest.is_some_and(|begun| begun >= since) {
+        return Ok(());
+    }
+    if let Some(begun) = *latest {
+        tokio::time::sleep_until(begun + MIN_SCAN_INTERVAL).await;
+    }
+    let begun = Instant::now();
+    let rows = scan_all(&*gateway.table, PREFIX).await;
+    gateway.metrics.count_store("streams_scan", rows.is_ok());
+    let expired = take_rows(gateway, &rows?);
+    *latest = Some(begun);
+    drop(latest);
+    delete(gateway, expired).await;
+    Ok(())
+}
+
+/// Takes over what the rows say; returns a transaction that deletes those that have long expired.
+fn take_rows(gateway: &Gateway, rows: &[Row]) -> Transaction {
+    let clock = gateway.table.clock().unwrap_or_default();
+    let mut expired = Transaction::default();
+    let mut streams = 0;
+    for row in rows {
+        let decoded = match row.decode::<StreamRow>() {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                gateway.origins.scans.malformed.lock().report(row, &error);
+                continue;
+            }
+        };
+        let Some(decoded) = decoded else { continue };
+        let until = Duration::from_millis(decoded.until_ms);
+        if until + DELETE_AFTER < clock && expired.delete.len() < MAX_DELETED {
+            expired.remove(row);
+        }
+        let left = until.saturating_sub(clock);
+        for group in &decoded.groups {
+            let origin = Origin {
+                service: group.service.clone(),
+                version: group.version.clone(),
+                weights: group.weights,
+            };
+            for key in group.streams.iter().filter(|_| !left.is_zero()) {
+                streams += 1;
+                gateway.origins.record(*key, origin.clone(), left, false);
+            }
+        }
+    }
+    tracing::info!(rows = rows.len(), streams, "read the origins of streams");
+    expired
+}
+
+/// Deletes rows that have expired. Another router may have deleted some of them.
+async fn delete(gateway: &Gateway, expired: Transaction) {
+    if expired.delete.is_empty() {
+        return;
+    }
+    let rows = expired.delete.len();
+    match gateway.table.transact(&expired).await {
+        Ok(deleted) => tracing::info!(rows, ?deleted, "deleted expired origins of streams"),
+        Err(error) => tracing::info!(rows, %error, "expired origins of streams not deleted"),
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -175,6 +175,14 @@
         self.complete.then(|| self.rank_key(key))
     }
 
+    /// Returns the addresses of up to `most` other routers that a key selects, best first. All routers that
+    /// know the same peers select the same ones.
+    pub fn select(&self, key: u64, most: usize) -> Vec<SocketAddr> {
+        let members: Vec<_> = self.list.iter().map(|peer| peer.member).collect();
+        let selected = homes::order(key, &members, most).into_iter();
+        selected.map(|place| self.list[place].address).collect()
+    }
+
     fn rank(&self, team: &TeamId) -> Vec<Home> {
         self.rank_key(hash::digest64(team.as_str().as_bytes()))
     }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -4,6 +4,7 @@
 //! See [docs/design/platform.md](../../../docs/design/platform.md).
 
 mod reserve;
+mod resume;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -189,7 +190,12 @@
         };
         return Err(Refusal::not_run(Reason::NoUpstream, message));
     }
-    let service = find_service(&route, &catalog, &call)?.clone();
+    let continuation =
+        resume::find_continuation(gateway, &route, name.as_ref(), &call, until).await?;
+    let service = match continuation.origin() {
+        Some(origin) => resume::find_service(&route, &catalog, origin)?.clone(),
+        None => find_service(&route, &catalog, &call)?.clone(),
+    };
     gateway.count_request(&service.name);
     let reservation = match team.filter(|team| team.prepaid.is_some()) {
         Some(team) => reserve(gateway, team, &call, until).await?,
@@ -228,6 +234,7 @@
         limited: None,
         unplaced: false,
         stopping: false,
+        continuation,
         sent,
     };
     Ok((job, reservation))
--- /dev/null
+++ b/crates/gateway/src/pipeline/resume.rs
@@ -0,0 +1,103 @@
+//! Requests that resume a stream whose connection to the caller broke.
+
+use std::time::Duration;
+
+use fescue_core::outcome::Reason;
+use fescue_core::{Refusal, TeamId};
+use tokio::time::Instant;
+
+use crate::catalog::Catalog;
+use crate::gateway::Gateway;
+use crate::model::{Call, Route, RouteKind, Service};
+use crate::origins::{self, Continuation, Missing, Origin, StreamKey};
+
+/// The time for which a request waits until other routers or the store tell how its stream began.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// `Retry-After` while the store can't be read.
+const RETRY_AFTER_LOOKUP: Duration = Duration::from_secs(1);
+
+/// Finds out which upstreams may run a request.
+///
+/// # Errors
+///
+/// The refusal of a request that resumes a stream of unknown origin.
+pub async fn find_continuation(
+    gateway: &Gateway,
+    route: &Route,
+    team: Option<&TeamId>,
+    call: &Call,
+    deadline: Instant,
+) -> Result<Continuation, Refusal> {
+    if route.kind != RouteKind::Streaming || call.last_event.is_none() {
+        return Ok(Continuation::Fresh);
+    }
+    let Some(first) = &call.resumes else {
+        tracing::info!(
+            request = call.id,
+            "the request doesn't say which stream it resumes"
+        );
+        return Err(refuse(Missing::Unknown));
+    };
+    let begun = Instant::now();
+    let limit = deadline.min(begun + LOOKUP_TIMEOUT);
+    let found = origins::find(gateway, StreamKey::new(team, first), limit).await;
+    let ms = begun.elapsed().as_millis() as u64;
+    match found {
+        Ok(origin) => {
+            tracing::info!(
+                request = call.id,
+                ?origin,
+                ms,
+                "found the origin of a stream"
+            );
+            Ok(Continuation::Of(origin))
+        }
+        Err(missing) => {
+            tracing::info!(
+                request = call.id,
+                ?missing,
+                ms,
+                "origin of a stream not found"
+            );
+            Err(refuse(missing))
+        }
+    }
+}
+
+fn refuse(missing: Missing) -> Refusal {
+    let message = match missing {
+        Missing::Unknown => "no router knows which upstream version began the stream",
+        Missing::Ambiguous => "two streams of different upstream versions have this attempt id",
+        Missing::Unavailable => "the store can't be asked which upstream version began the stream",
+    };
+    let refusal = Refusal::not_run(Reason::NoUpstream, message);
+    match missing {
+        Missing::Unavailable => refusal.with_retry_after(RETRY_AFTER_LOOKUP),
+        // No later attempt can succeed.
+        Missing::Unknown | Missing::Ambiguous => refusal,
+    }
+}
+
+/// Finds the service that began a stream.
+///
+/// # Errors
+///
+/// The refusal of a request whose route no longer leads there.
+pub fn find_service<'a>(
+    route: &Route,
+    catalog: &'a Catalog,
+    origin: &Origin,
+) -> Result<&'a Service, Refusal> {
+    let weighted = route.split.iter().any(|(_, weight)| *weight > 0);
+    let mut split = route.split.iter();
+    let leads = split.any(|(name, weight)| *name == origin.service && (*weight > 0 || !weighted));
+    let service = catalog.manifest().services.get(&origin.service);
+    service.filter(|_| leads).ok_or_else(|| {
+        let message = format!(
+            "route {} no longer leads to the service that began",
+            route.name
+        );
+        Refusal::not_run(Reason::NoUpstream, message)
+    })
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -59,6 +59,7 @@
         response,
         link,
         slot,
+        weights: _,
     } = opened;
     let (head, body) = response.into_parts();
     let server = slot.server();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,7 @@
 use crate::logs::Logs;
 use crate::reload::Reload;
 use crate::settings::Settings;
-use crate::{budget, feeds, fleet, handover, ingress, link_use, probe, settlement};
+use crate::{budget, feeds, fleet, handover, ingress, link_use, origins, probe, settlement};
 
 /// The interfaces to a platform, provided by its adapter.
 pub struct Platform {
@@ -98,6 +98,7 @@
     tokio::spawn(handover::run(Arc::clone(&gateway), peers));
     tokio::spawn(link_use::run(Arc::clone(&gateway)));
     tokio::spawn(fleet::run(Arc::clone(&gateway), Arc::clone(&table)));
+    tokio::spawn(origins::run(Arc::clone(&gateway)));
     tokio::spawn(settlement::run(Arc::clone(&gateway), Arc::clone(&table)));
     tokio::spawn(probe::serve_ready(Arc::clone(&gateway), ready));
     tokio::spawn(probe::serve_metrics(Arc::clone(&gateway), logs, metrics));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -108,6 +108,8 @@
     head: response::Parts,
     source: Source,
     first: Item,
+    /// The version of the weights that the response begins with.
+    weights: Option<u64>,
 }
 
 /// The result of opening a stream: the stream, or an error response that is passed on whole.
@@ -138,6 +140,9 @@
         Ok(Start::Whole(response)) => return Ok(response),
         Err(failure) => return Err(job.refusal(failure)),
     };
+    if matches!(started.first, Item::Event(_)) {
+        job.record_origin(started.source.slot.server(), started.weights);
+    }
     let elapsed = job.arrival.elapsed();
     job.gateway
         .metrics
@@ -211,10 +216,12 @@
         response,
         link,
         slot,
+        weights,
     } = opened;
     let (head, body) = response.into_parts();
     let own = Form::of(&head.headers);
-    if form.is_some_and(|form| !head.status.is_success() || *form != own) {
+    let other_form = form.is_some_and(|form| !head.status.is_success() || *form != own);
+    if other_form || job.has_other_weights(weights) {
         let (request, status) = (&job.call.id, head.status.as_u16());
         let upstream = slot.server().entry.id.as_str();
         tracing::warn!(
@@ -222,6 +229,7 @@
             upstream,
             status,
             ?own,
+            weights,
             "answer doesn't go on with the stream"
         );
         let good = head.status.is_client_error();
@@ -258,6 +266,7 @@
         head,
         source,
         first,
+        weights,
     })))
 }
 
@@ -308,6 +317,7 @@
         }
         match ended {
             Some(Ok(upstream)) => {
+                gateway.origins.close(self.job.stream_key());
                 self.job
                     .finish(status, &upstream, "streamed", self.usage.consumed())
             }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -13,6 +13,7 @@
 use fescue_policy::affinity::{self, Candidate};
 
 use crate::model::Upstream;
+use crate::origins::Origin;
 
 use departed::Departed;
 pub use facts::{Facts, Hindrance, Withdrawal};
@@ -81,6 +82,8 @@
     pub prefix: Option<u64>,
     /// The number of tokens of the prompt.
     pub input: u64,
+    /// What the upstream must be like to go on with a stream that has begun; `None` for a new request.
+    pub origin: Option<&'a Origin>,
     /// The upstreams of earlier attempts, which are not chosen again.
     pub tried: &'a [UpstreamId],
     /// The upstreams whose limits allow this request none now.
@@ -115,6 +118,10 @@
             if old.is_same_process(new) {
                 server.facts = Arc::clone(&known.facts);
             }
+            // The same entry, listed anew, says nothing of the process that listens now.
+            if old == new {
+                server.doubtful = Arc::clone(&known.doubtful);
+            }
         }
         let id = server.entry.id.clone();
         self.departed.forget(&id);
@@ -224,6 +231,13 @@
         self.table.values().filter(usable)
     }
 
+    /// Returns whether an upstream may serve a request with these requirements, now or when its limit or
+    /// pause allows.
+    pub fn can_serve(&self, requirements: &Requirements<'_>) -> bool {
+        let mut usable = self.usable(requirements.service);
+        usable.any(|server| server.suits(requirements))
+    }
+
     /// Iterates over all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.table.values()
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -1,9 +1,10 @@
 //! One listed upstream: its connections, the load that this router puts on it, and what its answers told.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use fescue_core::hash;
+use fescue_core::{SoftwareVersion, hash};
 use fescue_policy::limit::Breaker;
 use fescue_policy::quarantine::Attempt;
 use fescue_policy::rate_limit::{RequestRate, Statement};
@@ -13,6 +14,7 @@
 use super::{Block, Facts, Requirements};
 use crate::link::{Link, LinkError};
 use crate::model::Upstream;
+use crate::origins::Origin;
 
 /// The time-out for connecting to an upstream; twice the longest latency within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -83,6 +85,8 @@
     pub(super) state: Arc<Mutex<State>>,
     /// What the process said in its answers.
     pub facts: Arc<Facts>,
+    /// Whether the process that published the entry has ended.
+    pub(super) doubtful: Arc<AtomicBool>,
 }
 
 /// The time within which a broken request and a refused connection count as one crash.
@@ -115,6 +119,7 @@
             member,
             state: Arc::default(),
             facts: Arc::default(),
+            doubtful: Arc::default(),
         }
     }
 
@@ -261,11 +266,31 @@
         self.is_usable() && self.state.lock().breaker.allows(now)
     }
 
+    /// Returns the version of its software; `None` if it names none, or if another process may have taken
+    /// its place since it named this one.
+    pub fn version(&self) -> Option<&SoftwareVersion> {
+        let doubtful = self.doubtful.load(Ordering::Relaxed);
+        self.entry.version.as_ref().filter(|_| !doubtful)
+    }
+
+    /// Records that the process has ended. Another one may start under the same id and with another
+    /// version before its entry is published.
+    pub fn mark_ended(&self) {
+        self.doubtful.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether it is an upstream at which a request with these requirements may run at some time.
+    pub(super) fn suits(&self, requirements: &Requirements<'_>) -> bool {
+        let continues = |origin: &Origin| self.version() == Some(&origin.version);
+        self.entry.service == *requirements.service
+            && !requirements.tried.contains(&self.entry.id)
+            && requirements.origin.is_none_or(continues)
+    }
+
     /// Returns whether a request with these requirements may be sent there, apart from the circuit
     /// breaker.
     pub(super) fn fits(&self, requirements: &Requirements<'_>, now: Duration) -> bool {
-        self.entry.service == *requirements.service
-            && !requirements.tried.contains(&self.entry.id)
+        self.suits(requirements)
             && !requirements.denied.contains(&self.entry.id)
             && self.state.lock().allows(requirements.limited, now)
             && self.facts.hindrance().is_none()
--- a/crates/gateway/tests/suite/facts.rs
+++ b/crates/gateway/tests/suite/facts.rs
@@ -35,6 +35,7 @@
         service: &service,
         prefix: None,
         input: 0,
+        origin: None,
         tried: &[],
         denied: &[],
         limited: true,
--- a/crates/policy/src/homes.rs
+++ b/crates/policy/src/homes.rs
@@ -35,12 +35,17 @@
 
 /// Returns the indices of up to [`MAX_CANDIDATES`] members to ask for a key, the home first.
 pub fn rank(key: u64, members: &[u64]) -> Vec<usize> {
+    order(key, members, MAX_CANDIDATES)
+}
+
+/// Returns the indices of up to `most` members that a key selects, the first one first.
+pub fn order(key: u64, members: &[u64], most: usize) -> Vec<usize> {
     let mut scored: Vec<_> = members
         .iter()
         .enumerate()
         .map(|(index, member)| (hash::score(key, *member), index))
         .collect();
     scored.sort_unstable_by(|a, b| b.cmp(a));
-    scored.truncate(MAX_CANDIDATES);
+    scored.truncate(most);
     scored.into_iter().map(|(_, index)| index).collect()
 }
