origins: write rows soon after a stream begins, and test what is kept

A row was written each 150 ms, so up to that much of the streams was lost with a kill of all routers. It is written 30 ms after a stream has begun, each 100 ms at most with 8 routers. A stream whose version no listed upstream has is refused without Retry-After, as no later attempt can succeed.

The key of a stream holds the model, so that a stream doesn't go on with another one.

Tests of the module, paused clock: origins found after all routers were killed, ambiguous and expired ones, a store that fails or is slow, returns from an older copy or holds a row that can't be read; how often rows are written; placement by version; an entry whose process has ended. Tests of the headers and entries that can't be read.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -40,9 +40,6 @@
 /// `Retry-After` when no upstream accepted the request.
 const RETRY_AFTER_DECLINED: Duration = Duration::from_millis(300);
 
-/// `Retry-After` when no upstream of a version is left: one that has crashed may be back by then.
-const RETRY_AFTER_VERSION: Duration = Duration::from_secs(1);
-
 /// An admitted request, with the state of its attempts.
 pub struct Job {
     /// The gateway's shared state.
@@ -335,9 +332,7 @@
                 return refuse_blocked(block);
             }
             if !self.can_continue() {
-                let message = "no upstream of the version that began the stream is left";
-                return Refusal::not_run(Reason::NoUpstream, message)
-                    .with_retry_after(RETRY_AFTER_VERSION);
+                return self.refuse_continuation();
             }
             let message = "no upstream took the request";
             return Refusal::not_run(Reason::NoUpstream, message)
--- a/crates/gateway/src/job/continuation.rs
+++ b/crates/gateway/src/job/continuation.rs
@@ -2,16 +2,21 @@
 
 use std::time::Duration;
 
+use fescue_core::Refusal;
+use fescue_core::outcome::Reason;
 use tokio::time::Instant;
 
 use super::Job;
 use crate::origins::{self, Continuation, Origin, StreamKey};
 use crate::upstreams::Server;
 
+/// `Retry-After` when all upstreams of a version are unusable: one that has crashed may be back by then.
+const RETRY_AFTER_VERSION: Duration = Duration::from_secs(1);
+
 impl Job {
     /// Returns the key under which the origin of this request's stream is kept.
     pub fn stream_key(&self) -> StreamKey {
-        StreamKey::new(self.team.as_ref(), &self.call.id)
+        StreamKey::new(self.team.as_ref(), &self.call.model, &self.call.id)
     }
 
     /// Records which upstream brought the first event of a new stream, before the event is forwarded.
@@ -53,6 +58,18 @@
         }
     }
 
+    /// Builds the refusal of a request that was not run, as its stream can't go on anywhere.
+    pub(super) fn refuse_continuation(&self) -> Refusal {
+        let message = "no upstream of the version that began the stream is left";
+        let refusal = Refusal::not_run(Reason::NoUpstream, message);
+        let servers = self.gateway.servers.lock();
+        let origin = self.continuation.origin();
+        match origin.is_some_and(|origin| servers.lists_version(origin)) {
+            true => refusal.with_retry_after(RETRY_AFTER_VERSION),
+            false => refusal,
+        }
+    }
+
     /// Returns when the caller gives the request up, its own later attempts included.
     fn give_up(&self) -> Instant {
         let patience = self.call.deadline.unwrap_or(Duration::ZERO);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
@@ -30,17 +31,20 @@
 /// The longest time for which an origin is kept.
 const MAX_LIFETIME: Duration = Duration::from_secs(300);
 
-/// Identifies a stream: the hash of its team and of the attempt that brought its first event. A team can't
-/// name the streams of another one.
+/// Identifies a stream: the hash of its team, its model and the attempt that brought its first event. A team
+/// can't name the streams of another one, and no stream goes on with another model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct StreamKey(u64);
 
 impl StreamKey {
-    /// Returns the key of the stream that an attempt of a team began.
-    pub fn new(team: Option<&TeamId>, attempt: &str) -> Self {
+    /// Returns the key of the stream of `model` that an attempt of a team began.
+    pub fn new(team: Option<&TeamId>, model: &str, attempt: &str) -> Self {
         let team = team.map_or("", TeamId::as_str);
-        Self(hash::digest64(format!("{team} {attempt}").as_bytes()))
+        let model = hash::digest64(model.as_bytes());
+        Self(hash::digest64(
+            format!("{team} {model} {attempt}").as_bytes(),
+        ))
     }
 }
 
@@ -93,6 +97,8 @@
 #[derive(Debug, Default)]
 pub struct Origins {
     known: Mutex<IndexMap<StreamKey, Known>>,
+    /// Notified when a stream begins here.
+    begun: Notify,
     inquiries: lookup::Inquiries,
     scans: rows::Scans,
 }
@@ -168,5 +174,6 @@
 pub fn record(gateway: &Gateway, key: StreamKey, origin: &Origin, deadline: Instant) {
     let lifetime = deadline.saturating_duration_since(Instant::now()) + EXPIRY_MARGIN;
     gateway.origins.record(key, origin.clone(), lifetime, true);
+    gateway.origins.begun.notify_one();
     lookup::tell(gateway, key, origin, lifetime);
 }
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -10,7 +10,7 @@
 use fescue_core::{Era, ServiceId, SoftwareVersion, record};
 use fescue_store::table::{Commit, Put, Row, TableError, Transaction, scan_all};
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::{Origin, StreamKey};
 use crate::gateway::Gateway;
@@ -19,14 +19,17 @@
 /// Key prefix of the rows.
 const PREFIX: &str = "streams/";
 
-/// Interval between two writes of a router in a small fleet. What began later when all routers are killed
-/// can't be resumed.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(150);
+/// Delay of a write, in which further streams may begin that it then covers. What began later when all
+/// routers are killed can't be resumed.
+const WRITE_DELAY: Duration = Duration::from_millis(30);
 
-/// The part of the interval that each router of the fleet adds, which bounds the writes of all routers
-/// together to 80 a second.
+/// The least interval between two writes for each router of the fleet, which bounds the writes of all
+/// routers together to 80 a second.
 const INTERVAL_PER_ROUTER: Duration = Duration::from_micros(12_500);
 
+/// The longest time between two rounds, in which what has expired is dropped.
+const MAX_ROUND_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval between two reads of all rows.
 const MIN_SCAN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -75,10 +78,13 @@
     }
     let mut writer = Writer::default();
     loop {
-        let interval = INTERVAL_PER_ROUTER * gateway.routers() as u32;
-        sleep(interval.max(MIN_WRITE_INTERVAL)).await;
+        let _begun = timeout(MAX_ROUND_INTERVAL, gateway.origins.begun.notified()).await;
+        sleep(WRITE_DELAY).await;
         gateway.origins.drop_expired();
-        writer.round(&gateway).await;
+        if writer.round(&gateway).await {
+            let interval = INTERVAL_PER_ROUTER * gateway.routers() as u32;
+            sleep(interval.saturating_sub(WRITE_DELAY)).await;
+        }
     }
 }
 
@@ -90,8 +96,8 @@
 }
 
 impl Writer {
-    /// Writes the row if it lacks a stream, or if the store may have lost it.
-    async fn round(&mut self, gateway: &Gateway) {
+    /// Writes the row if it lacks a stream, or if the store may have lost it; returns whether it tried.
+    async fn round(&mut self, gateway: &Gateway) -> bool {
         let mut open = gateway.origins.open();
         let surplus = open.len().saturating_sub(MAX_ROW_STREAMS);
         if surplus > 0 {
@@ -104,7 +110,7 @@
         let era = gateway.table.era();
         let lost = Era::differ(self.era, era);
         if open.is_empty() || !lost && open.iter().all(|(key, ..)| self.written.contains(key)) {
-            return;
+            return false;
         }
         let written = write(gateway, &open).await;
         gateway.metrics.count_store("streams", written.is_ok());
@@ -115,8 +121,10 @@
             }
             Err(error) => {
                 tracing::info!(%error, streams = open.len(), "origins of streams not written; retrying");
+                gateway.origins.begun.notify_one();
             }
         }
+        true
     }
 }
 
@@ -212,9 +220,10 @@
     expired
 }
 
-/// Deletes rows that have expired. Another router may have deleted some of them.
+/// Deletes rows that have expired. All routers find the same ones when they start together, so each leaves
+/// them to the others mostly.
 async fn delete(gateway: &Gateway, expired: Transaction) {
-    if expired.delete.is_empty() {
+    if expired.delete.is_empty() || rand::random_range(0..gateway.routers()) > 0 {
         return;
     }
     let rows = expired.delete.len();
--- a/crates/gateway/src/pipeline/resume.rs
+++ b/crates/gateway/src/pipeline/resume.rs
@@ -41,7 +41,8 @@
     };
     let begun = Instant::now();
     let limit = deadline.min(begun + LOOKUP_TIMEOUT);
-    let found = origins::find(gateway, StreamKey::new(team, first), limit).await;
+    let key = StreamKey::new(team, &call.model, first);
+    let found = origins::find(gateway, key, limit).await;
     let ms = begun.elapsed().as_millis() as u64;
     match found {
         Ok(origin) => {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -238,6 +238,14 @@
         usable.any(|server| server.suits(requirements))
     }
 
+    /// Returns whether an upstream of the version that began a stream is listed and not leaving, even if it
+    /// can't be used now.
+    pub fn lists_version(&self, origin: &Origin) -> bool {
+        let version = Some(&origin.version);
+        let mut usable = self.usable(&origin.service);
+        usable.any(|server| server.entry.version.as_ref() == version)
+    }
+
     /// Iterates over all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.table.values()
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod feeds;
 mod handover;
 mod odd_rows;
+mod origins;
 mod reload;
 mod settlement;
 mod site;
