--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::{Era, UpstreamId};
+use fescue_core::{Era, SoftwareVersion, UpstreamId};
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
@@ -149,6 +149,7 @@
                 tracing::info!(
                     upstream = id.as_str(),
                     service = upstream.service.as_str(),
+                    version = upstream.version.as_ref().map(SoftwareVersion::as_str),
                     draining = upstream.draining,
                     started_at = upstream.started_at,
                     address = %upstream.address,
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -21,11 +21,11 @@
 
 /// Delay of a write, in which further streams may begin that it then covers. What began later when all
 /// routers are killed can't be resumed.
-const WRITE_DELAY: Duration = Duration::from_millis(30);
+const WRITE_DELAY: Duration = Duration::from_millis(10);
 
 /// The least interval between two writes for each router of the fleet, which bounds the writes of all
-/// routers together to 80 a second.
-const INTERVAL_PER_ROUTER: Duration = Duration::from_micros(12_500);
+/// routers together to 125 a second.
+const INTERVAL_PER_ROUTER: Duration = Duration::from_millis(8);
 
 /// The longest time between two rounds, in which what has expired is dropped.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_secs(1);
