pipeline: log which attempt a request resumes when its origin isn't found

The line did not tell which stream could not be resumed, so whether it had begun too late before a kill could only be guessed.

--- a/crates/gateway/src/pipeline/resume.rs
+++ b/crates/gateway/src/pipeline/resume.rs
@@ -17,6 +17,9 @@
 /// `Retry-After` while the store can't be read.
 const RETRY_AFTER_LOOKUP: Duration = Duration::from_secs(1);
 
+/// The number of characters that are logged of what a caller names as an attempt.
+const MAX_LOGGED_CHARS: usize = 64;
+
 /// Finds out which upstreams may run a request.
 ///
 /// # Errors
@@ -55,8 +58,10 @@
             Ok(Continuation::Of(origin))
         }
         Err(missing) => {
+            let resumes: String = first.chars().take(MAX_LOGGED_CHARS).collect();
             tracing::info!(
                 request = call.id,
+                resumes,
                 ?missing,
                 ms,
                 "origin of a stream not found"
