job: look for upstreams of a stream's version only, and check entries again

A stream with no upstream of its version left waited until its deadline if an upstream of another version was limited or paused, as the wait for limits looked at the whole service. And an entry that changed between placement and the first event was believed as it was at placement, so that the answer of a successor could have been taken for that of the listed version; it is compared again when the first event arrives.

--- a/crates/gateway/src/job/continuation.rs
+++ b/crates/gateway/src/job/continuation.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use fescue_core::Refusal;
 use fescue_core::outcome::Reason;
+use fescue_core::{Refusal, SoftwareVersion};
 use tokio::time::Instant;
 
 use super::Job;
+use crate::model::Upstream;
 use crate::origins::{self, Continuation, Origin, StreamKey};
 use crate::upstreams::Server;
 
@@ -24,13 +25,13 @@
         if self.continuation != Continuation::Fresh {
             return;
         }
-        let Some(version) = server.version() else {
+        let Some(version) = self.confirmed_version(server) else {
             self.continuation = Continuation::Unknown;
             return;
         };
         let origin = Origin {
             service: self.service.name.clone(),
-            version: version.clone(),
+            version,
             weights,
         };
         if self.route.resumable && !self.call.id.is_empty() {
@@ -39,6 +40,24 @@
         self.continuation = Continuation::Of(origin);
     }
 
+    /// Returns the version of the process that sent an answer; `None` if it isn't known, or if the entry has
+    /// changed since the request was placed: then the answer may come from a successor.
+    fn confirmed_version(&self, server: &Server) -> Option<SoftwareVersion> {
+        let placed = &server.entry;
+        let servers = self.gateway.servers.lock();
+        let current = servers.get(&placed.id).map(|current| &current.entry);
+        let same =
+            |entry: &Upstream| entry.is_same_process(placed) && entry.version == placed.version;
+        let confirmed = current.is_none_or(same);
+        server.version().filter(|_| confirmed).cloned()
+    }
+
+    /// Returns whether a process may go on with the stream, as far as its entry tells now.
+    pub fn may_come_from(&self, server: &Server) -> bool {
+        let origin = self.continuation.origin();
+        origin.is_none_or(|origin| self.confirmed_version(server).as_ref() == Some(&origin.version))
+    }
+
     /// Returns whether an answer comes from other weights than those that began the stream.
     pub fn has_other_weights(&self, weights: Option<u64>) -> bool {
         let began = self.continuation.origin().and_then(|origin| origin.weights);
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -40,6 +40,9 @@
                 self.limited = None;
                 return Some(slot);
             }
+            if !self.can_continue() {
+                return None;
+            }
             if let Some(Block { wait, .. }) = self.limited {
                 if Instant::now() + wait >= hold_until {
                     return None;
@@ -47,7 +50,7 @@
                 sleep(wait.max(MIN_LIMIT_WAIT)).await;
                 continue;
             }
-            let exhausted = self.sends == 0 && !self.tried.is_empty() || !self.can_continue();
+            let exhausted = self.sends == 0 && !self.tried.is_empty();
             if exhausted || timeout_at(give_up, changed).await.is_err() {
                 return None;
             }
@@ -83,7 +86,8 @@
             }
         }
         let servers = self.gateway.servers.lock();
-        let blocked = servers.blocked(&self.service.name, self.gateway.now());
+        let blocked = servers.blocked(&self.requirements(&[]), self.gateway.now());
+        drop(servers);
         let denied = shortest.map(|wait| Block {
             wait,
             pausing: false,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -260,6 +260,15 @@
     };
     let first = source.next(limit).await;
     let first = first.inspect_err(|failure| record_failure(job, &source.slot, *failure, false))?;
+    if !job.may_come_from(source.slot.server()) {
+        let (request, upstream) = (&job.call.id, source.slot.server().entry.id.as_str());
+        tracing::warn!(
+            request,
+            upstream,
+            "upstream may have been replaced since the request was placed; its answer is not joined"
+        );
+        return Err(Failure::Broke);
+    }
     source.slot.mark_prompt_read();
     source.slot.server().record_outcome(job.gateway.now(), true);
     Ok(Start::Stream(Box::new(OpenStream {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -210,11 +210,12 @@
         self.table.is_empty()
     }
 
-    /// Returns how long no upstream of a service can be used because of limits or pauses; `None` if these
-    /// are not the reason.
-    pub fn blocked(&self, service: &ServiceId, now: Duration) -> Option<Block> {
-        let usable = self.usable(service);
-        usable.filter_map(|server| server.blocked(now)).min()
+    /// Returns how long no upstream that suits a request can be used because of limits or pauses; `None` if
+    /// these are not the reason.
+    pub fn blocked(&self, requirements: &Requirements<'_>, now: Duration) -> Option<Block> {
+        let usable = self.usable(requirements.service);
+        let suits = usable.filter(|server| server.suits(requirements));
+        suits.filter_map(|server| server.blocked(now)).min()
     }
 
     /// Returns how long all upstreams of a service are blocked; `None` if one of them isn't.
