router tests: bound every wait for an answer or an exit

A test of the router's own pipeline waited without a bound for an answer and for the exit of a process, and so did four tests that read a connection of their own. A fault that kept one request waiting therefore stopped the whole suite without a word on which router held what: process_refusals:: refusal_after_an_attempt_that_may_have_run_is_unknown stood still for over 100 s and was stopped by hand.

`Site::ask`, `spawn_ask` and `admin` now fail 35 s after they were called, and `Process::wait` after 60 s. The failure shows the router's status and the last 40 lines of its log. The limit lies above the target of the priorities in these tests, 20 s, so a request that may wait until its target isn't taken for a fault. `status` gives up after 5 s. Reads on connections of a test's own are bounded by the same 35 s. Looked through for the same fault: the callers of platform/standin end one second after their deadline, `Gateway::await_exit` and `await_ready` take a limit, the tests of crates/gateway, crates/peer and platform/ wait with `timeout` or in a bounded poll, and the fleet in one process runs on a paused clock.

The fault itself doesn't exceed 35 s for one request there, so its test still passes; it waits 20 s for each of several requests.

--- a/crates/router/tests/suite/gateway.rs
+++ b/crates/router/tests/suite/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use super::gateway_site::{READY_TIMEOUT, Site, status};
+use super::site::bounded;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_serves_each_kind() {
@@ -66,7 +67,7 @@
             .expect("sent");
         let mut answer = Vec::new();
         // The gateway may reset the connection, as it leaves part of the request unread.
-        let _read = stream.read_to_end(&mut answer).await;
+        let _read = bounded(framing, stream.read_to_end(&mut answer)).await;
         let answer = String::from_utf8_lossy(&answer);
         assert!(
             answer.is_empty() || answer.starts_with("HTTP/1.1 400"),
--- a/crates/router/tests/suite/gateway_resumes.rs
+++ b/crates/router/tests/suite/gateway_resumes.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use super::gateway_site::Site;
+use super::site::bounded;
 
 /// The text that each error holds.
 const ERROR: &str = "ERROR-TEXT";
@@ -152,7 +153,7 @@
     stream.write_all(request.as_bytes()).await.expect("a write");
     let mut bytes = Vec::new();
     // The gateway may reset the connection of a stream that it breaks off.
-    let _ended = stream.read_to_end(&mut bytes).await;
+    let _ended = bounded(id, stream.read_to_end(&mut bytes)).await;
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
--- a/crates/router/tests/suite/gateway_stops.rs
+++ b/crates/router/tests/suite/gateway_stops.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 
 use super::gateway_site::{EXIT_TIMEOUT, Site, status};
+use super::site::bounded;
 
 /// A planned stop cuts no stream, and a second signal changes nothing.
 #[tokio::test(flavor = "multi_thread")]
@@ -228,7 +229,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     gateway.signal(Signal::TERM);
     let mut answer = Vec::new();
-    let read = partial.read_to_end(&mut answer).await;
+    let read = bounded("partial", partial.read_to_end(&mut answer)).await;
     let answer = String::from_utf8_lossy(&answer);
     assert!(
         answer.starts_with("HTTP/1.1 503") && answer.contains("not_run"),
--- a/crates/router/tests/suite/process_floods.rs
+++ b/crates/router/tests/suite/process_floods.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 
 use crate::gateway_site::SMALLEST_VM_MEMORY;
-use crate::site::{KEY, QUICK, Site, chat, eventually, purchase};
+use crate::site::{KEY, QUICK, Site, bounded, chat, eventually, purchase};
 
 /// Returns rules in which all models and services lead to one upstream.
 pub fn rules_with(site: &Site, at: std::net::SocketAddr) -> String {
@@ -106,7 +106,7 @@
     stream.write_all(request.as_bytes()).await.expect("sent");
     let mut answer = Vec::new();
     // The router may reset the connection, since the answer is incomplete.
-    let _read = stream.take(1 << 20).read_to_end(&mut answer).await;
+    let _read = bounded("events", stream.take(1 << 20).read_to_end(&mut answer)).await;
     let answer = String::from_utf8_lossy(&answer);
     let delivered = answer.matches("\"n\":").count();
     assert!(delivered <= 5, "{delivered} events");
--- a/crates/router/tests/suite/process_grace.rs
+++ b/crates/router/tests/suite/process_grace.rs
@@ -17,7 +17,7 @@
 
 use crate::process_floods::{LOAD, rules_with};
 use crate::process_grace_ends::delivered;
-use crate::site::{KEY, SLOW, Site, chat, eventually, expected_text, purchase};
+use crate::site::{KEY, SLOW, Site, bounded, chat, eventually, expected_text, purchase};
 
 /// The grace period of the routers; they end running requests a second before its end.
 const GRACE: Duration = Duration::from_secs(4);
@@ -88,7 +88,8 @@
         let mut text = String::new();
         let mut buffer = [0; 4096];
         while !text.contains("[DONE]") {
-            let count = self.stream.read(&mut buffer).await.expect("an answer");
+            let read = bounded("the rest of a stream", self.stream.read(&mut buffer)).await;
+            let count = read.expect("an answer");
             assert!(count > 0, "{text}");
             text.push_str(&String::from_utf8_lossy(&buffer[..count]));
         }
--- a/crates/router/tests/suite/process_stops.rs
+++ b/crates/router/tests/suite/process_stops.rs
@@ -8,7 +8,7 @@
 use fescue_store::config::{ChangeOutcome, Config};
 use rustix::process::Signal;
 
-use crate::site::{QUICK, SLOW, Site, chat, eventually, expected_text, purchase};
+use crate::site::{QUICK, SLOW, Site, bounded, chat, eventually, expected_text, purchase};
 
 /// The exit code of a router whose allowances were closed.
 const CLOSED_EXIT_CODE: i32 = 3;
@@ -93,13 +93,11 @@
     let alone = crate::site::Process::spawn(&dir, "alone", "dakar-1", nowhere).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let ready = fescue_standin::caller::Request::get("/readyz");
-    let answer = site
-        .caller
-        .send(alone.operators, &ready)
-        .await
-        .expect("an answer");
+    let answer = bounded("/readyz", site.caller.send(alone.operators, &ready)).await;
+    let answer = answer.expect("an answer");
     assert_eq!(answer.status, 503);
-    let refused = site.caller.send(alone.callers, &purchase("buy-1")).await;
+    let call = purchase("buy-1");
+    let refused = bounded("buy-1", site.caller.send(alone.callers, &call)).await;
     let refused = refused.expect("an answer");
     assert_eq!(
         (refused.code().as_str(), refused.outcome.as_str()),
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -1,7 +1,9 @@
 //! A deployment on loopback: each router is a process, the stand-ins run in the test's process.
 
+mod limits;
 mod process;
 
+pub use limits::bounded;
 pub use process::Process;
 
 use std::net::{Ipv4Addr, SocketAddr};
@@ -203,7 +205,7 @@
 
     async fn wait_for_answer(&self, to: SocketAddr, path: &str, status: u16) {
         eventually(path, || async {
-            let answer = self.caller.send(to, &Request::get(path)).await;
+            let answer = bounded(path, self.caller.send(to, &Request::get(path))).await;
             answer.is_ok_and(|answer| answer.status == status)
         })
         .await;
@@ -223,39 +225,41 @@
     pub async fn admin(&self, ask: &Request) -> Response {
         let key = ask.key.clone().or(Some(process::OPERATOR.to_owned()));
         let ask = Request { key, ..ask.clone() };
-        let answer = self.caller.send(self.routers[0].operators, &ask).await;
+        let router = &self.routers[0];
+        let answer = self.caller.send(router.operators, &ask);
+        let answer = router.report().answer(&ask.path, answer).await;
         answer.unwrap_or_else(|error| panic!("admin API gave no answer: {error}"))
     }
 
     /// Returns the status of a router, or null if it doesn't answer.
     pub async fn status(&self, index: usize) -> serde_json::Value {
-        let ask = Request {
-            key: Some(process::OPERATOR.to_owned()),
-            ..Request::get("/admin/v1/status")
-        };
-        let answer = self.caller.send(self.routers[index].operators, &ask).await;
-        let body = answer.map(|answer| answer.body).unwrap_or_default();
-        serde_json::from_str(&body).unwrap_or_default()
+        self.routers[index].report().status(&self.caller).await
     }
 
-    /// Sends a request to a router and returns its answer.
+    /// Sends a request to a router and returns its answer, which must arrive within a time limit.
     pub async fn ask(&self, index: usize, ask: &Request) -> Response {
-        let answer = self.caller.send(self.routers[index].callers, ask).await;
+        let router = &self.routers[index];
+        let answer = self.caller.send(router.callers, ask);
+        let name = ask.id.as_deref().unwrap_or(&ask.path);
+        let answer = router.report().answer(name, answer).await;
         answer.unwrap_or_else(|error| panic!("router {index} gave no answer: {error}"))
     }
 
-    /// Sends a request to a router from a background task.
+    /// Sends a request to a router from a background task, which fails if no answer arrives within a
+    /// time limit.
     pub fn spawn_ask(
         &self,
         index: usize,
         ask: &Request,
     ) -> tokio::task::JoinHandle<Option<Response>> {
-        let (caller, to, ask) = (
-            self.caller.clone(),
-            self.routers[index].callers,
-            ask.clone(),
-        );
-        tokio::spawn(async move { caller.send(to, &ask).await.ok() })
+        let router = &self.routers[index];
+        let (caller, to, report) = (self.caller.clone(), router.callers, router.report());
+        let ask = ask.clone();
+        tokio::spawn(async move {
+            let name = ask.id.as_deref().unwrap_or(&ask.path);
+            let answer = report.answer(name, caller.send(to, &ask)).await;
+            answer.ok()
+        })
     }
 
     /// Opens `count` streams at a router and waits until the engines run all of them.
--- a/crates/router/tests/suite/site/process.rs
+++ b/crates/router/tests/suite/site/process.rs
@@ -12,6 +12,7 @@
 use serde_json::Value;
 
 use super::eventually;
+use super::limits::Report;
 
 /// The token that the admin API accepts.
 pub const OPERATOR: &str = "operator-token";
@@ -87,17 +88,26 @@
         self.child.id()
     }
 
-    /// Waits until the process has exited.
+    /// Waits until the process has exited, within a time limit.
     pub async fn wait(&mut self) -> ExitStatus {
-        loop {
-            if let Some(status) = self
-                .child
-                .try_wait()
-                .expect("the process can be waited for")
-            {
-                return status;
+        let (report, child) = (self.report(), &mut self.child);
+        let exit = async {
+            loop {
+                let status = child.try_wait().expect("the process can be waited for");
+                if let Some(status) = status {
+                    return status;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
             }
-            tokio::time::sleep(Duration::from_millis(10)).await;
+        };
+        report.exit(exit).await
+    }
+
+    /// Returns what a failure shows of this router.
+    pub fn report(&self) -> Report {
+        Report {
+            operators: self.operators,
+            log: Arc::clone(&self.log),
         }
     }
 
