dispatch: an isolated request leaves out upstreams where it failed

Callers saw: a chat completion whose first attempt failed waited until the target of its priority (20 s in the tests) and was then refused, "overload" and not run, or "upstream_failed" if an earlier attempt may have run, while an upstream of its pool was up and idle. Each retry of the caller waited as long again, and each attempt at one request as well, so a request could wait three times its target.

Timeline of the case in the incident, from the router's log (rules with an upstream that answers 500 or nothing and one that refuses with 503): attempt 1 is declined; attempt 2, at the other upstream, breaks and is counted as a crash, so the request is a suspect; attempt 3 isn't placed for 20.0 s, and the request is refused at its target. The caller's next request with that prompt is a suspect from the start: attempt 1 is declined, attempt 2 waits for 20.0 s. Six requests were refused in the record (4 upstream_failed, 2 overload) and the seventh waited: 5 to 6 times 20 s is the 100 s that were seen. Each request was answered; what bounded it was its target, once an attempt.

Cause: a suspect may only go to the upstream that its fingerprint selects among those that are up. Whether the upstream is open was asked of `QueueCandidates`, which closes those where an attempt at the job failed. If the selected upstream had failed or declined it, the one choice was closed to this job for as long as it was up.

Change: the upstream is selected by hash among those that are up and where the job hasn't failed, and if it has failed at all of them, among all that are up. All routers still compute the same order, so a request that crashes upstreams still takes them in one order, and is quarantined after the second. A decline, which proves that the request didn't run, now leads to the next upstream instead of a wait.

Tests: dispatch::isolated_request_goes_on_where_it_has_not_failed waited 20 s on the paused clock before. The dispatcher had no tests of its own; `dispatch::apply_rules` is split from the configuration controller for them.

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -7,6 +7,7 @@
 use fescue_store::config::{Change, Config};
 
 use crate::blackboard::{ApplyOutcome, Board};
+use crate::dispatch;
 
 /// The configuration controller, which keeps the rules in force up to date.
 pub struct Controller {
@@ -115,12 +116,5 @@
             }
         }
     }
-    let book = board.book();
-    {
-        let mut pools = board.pools.lock();
-        let mut upstreams = board.upstreams.lock();
-        upstreams.apply_rules(&book);
-        pools.apply_rules(&book, &upstreams);
-    }
-    board.capacity.notify_one();
+    dispatch::apply_rules(board, &board.book());
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use fescue_core::outcome::Reason;
-use fescue_core::rules::Upstream;
+use fescue_core::rules::{RuleSet, Upstream};
 use fescue_core::{Refusal, TeamId};
 use fescue_policy::queue::Ticket;
 use tokio::sync::oneshot;
@@ -127,6 +127,17 @@
     Refusal::not_run(Reason::Overload, message).with_retry_after(RETRY_AFTER)
 }
 
+/// Applies the rules in force to the upstreams and the queues.
+pub fn apply_rules(board: &Board, book: &Arc<RuleSet>) {
+    let mut pools = board.pools.lock();
+    let mut upstreams = board.upstreams.lock();
+    upstreams.apply_rules(book);
+    pools.apply_rules(book, &upstreams);
+    drop(upstreams);
+    drop(pools);
+    board.capacity.notify_one();
+}
+
 /// Grants capacity whenever some becomes free, for as long as the router runs.
 pub async fn run(board: Arc<Board>) {
     loop {
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -200,13 +200,21 @@
         placement::choose(context.rng, job.prefix, &self.ring, &candidates)
     }
 
-    /// Returns the one upstream that all routers send requests with this fingerprint to.
+    /// Returns the upstream that all routers send requests with this fingerprint to: the first by hash of
+    /// those that are up, after those where an attempt at the job failed are left out.
     fn isolated(&self, fingerprint: u64, candidates: &QueueCandidates<'_>) -> Option<Choice> {
-        let state = |index: usize| candidates.upstreams.at(self.indices[index]);
-        let up = (0..self.indices.len()).filter(|i| state(*i).is_some_and(State::is_up));
-        let member = |index: &usize| state(*index).map(State::ring_id).unwrap_or_default();
-        let index = up.max_by_key(|index| hash::score(fingerprint, member(index)))?;
-        let candidate = candidates.candidate(index);
+        let (job, upstreams) = (candidates.job, candidates.upstreams);
+        let state = |index: usize| upstreams.at(self.indices[index]).filter(|s| s.is_up());
+        let score = |index: &usize| {
+            let member = state(*index).map(State::ring_id).unwrap_or_default();
+            hash::score(fingerprint, member)
+        };
+        let up = || (0..self.indices.len()).filter(|index| state(*index).is_some());
+        let untried = |index: &usize| !job.failed.contains(&self.rules[*index].name);
+        let first = up().filter(untried).max_by_key(score);
+        let index = first.or_else(|| up().max_by_key(score))?;
+        let state = state(index)?;
+        let candidate = state.candidate(candidates.local, job.prefix, job.prompt, candidates.now);
         let cost = candidate.cost();
         candidate.open.then_some(Choice {
             best: placement::Scored { index, cost },
--- /dev/null
+++ b/crates/router/tests/suite/dispatch.rs
@@ -0,0 +1,120 @@
+//! The dispatcher on a paused clock: which requests wait, for how long, and what ends the wait.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescue_core::rules::RuleSet;
+use fescue_core::settings::Settings;
+use fescue_core::{Incarnation, Priority, Refusal, Tokens, Weight, hash};
+use fescue_router::blackboard::Board;
+use fescue_router::dispatch::{self, Job, Permit, Pool};
+use tokio::time::Instant;
+
+/// The target of the standard priority.
+const TARGET: Duration = Duration::from_secs(20);
+
+/// The longest wait of a request whose outcome is known, with some checks of the queues.
+const AT_ONCE: Duration = Duration::from_millis(100);
+
+/// A router's dispatcher without the rest of the router.
+struct Dispatcher {
+    board: Arc<Board>,
+}
+
+fn upstream(name: &str, slots: u32) -> String {
+    format!(
+        "upstream {name} at=127.0.0.1:9 data-centre=dakar-1 models=price slots={slots} \
+         fencing=ignores orders=unchecked # asked by Awa\n"
+    )
+}
+
+fn standard(target: Duration) -> String {
+    let target = target.as_millis();
+    format!("priority standard share=30 target={target}ms # asked by Awa\n")
+}
+
+impl Dispatcher {
+    /// Starts a dispatcher with these upstreams.
+    fn spawn(upstreams: &[String]) -> Self {
+        let text = r#"{
+            "vm": "vm-0", "data_centre": "dakar-1",
+            "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
+            "platform": {"address": "127.0.0.1:4"},
+            "operator_token_file": "none", "peer_token_file": "none"
+        }"#;
+        let settings = Settings::parse("settings", text).expect("the settings parse");
+        let board = Board::new(settings, Incarnation::new(1));
+        let dispatcher = Self { board };
+        dispatcher.apply(TARGET, upstreams);
+        tokio::spawn(dispatch::run(Arc::clone(&dispatcher.board)));
+        dispatcher
+    }
+
+    /// Puts rules in force.
+    fn apply(&self, target: Duration, upstreams: &[String]) {
+        let text = standard(target) + &upstreams.concat();
+        let book = RuleSet::parse("rules", &text).expect("the rules parse");
+        dispatch::apply_rules(&self.board, &Arc::new(book));
+    }
+
+    /// Waits for an upstream; also returns the time that it took.
+    async fn acquire(&self, job: Job) -> (Result<Permit, Refusal>, Duration) {
+        let start = Instant::now();
+        let pool = Pool::Model("price".parse().expect("a model"));
+        let acquired = dispatch::acquire(&self.board, &pool, job).await;
+        (acquired, start.elapsed())
+    }
+
+    /// Acquires a permit for an upstream, which must be free.
+    async fn permit(&self, job: Job) -> Permit {
+        let (permit, waited) = self.acquire(job).await;
+        assert!(waited <= AT_ONCE, "{waited:?}");
+        permit.expect("a permit")
+    }
+}
+
+fn job(id: &str) -> Job {
+    Job {
+        request: id.parse().expect("a request id"),
+        team: "yard".parse().expect("a team"),
+        weight: Weight::ONE,
+        priority: Priority::Standard,
+        cost: Tokens::new(100),
+        prompt: 10,
+        prefix: 7,
+        failed: Vec::new(),
+        isolate: None,
+        max_wait: None,
+    }
+}
+
+fn isolated(id: &str, fingerprint: u64) -> Job {
+    Job {
+        isolate: Some(fingerprint),
+        ..job(id)
+    }
+}
+
+/// Returns a fingerprint whose requests go to the first of these upstreams.
+fn fingerprint_of(first: &str, second: &str) -> u64 {
+    let score = |print, name: &str| hash::score(print, hash::digest64(name.as_bytes()));
+    let mut prints = 1..1000;
+    let found = prints.find(|print| score(*print, first) > score(*print, second));
+    found.expect("a fingerprint")
+}
+
+/// Guards against a suspect request that waits until its target for the upstream where its first attempt
+/// failed, while another is free: that upstream was the only choice, and closed to the request.
+#[tokio::test(start_paused = true)]
+async fn isolated_request_goes_on_where_it_has_not_failed() {
+    let dispatcher = Dispatcher::spawn(&[upstream("a", 8), upstream("b", 8)]);
+    let mut job = isolated("r-1", fingerprint_of("a", "b"));
+    for name in ["a", "b"] {
+        let permit = dispatcher.permit(job.clone()).await;
+        assert_eq!(permit.upstream.name.as_str(), name);
+        job.failed.push(permit.upstream.name.clone());
+    }
+    // Once it has failed everywhere, it goes to the first again.
+    let permit = dispatcher.permit(job).await;
+    assert_eq!(permit.upstream.name.as_str(), "a");
+}
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the router, with one module per feature.
 
+mod dispatch;
 mod fleet;
 mod gateway;
 mod gateway_crashes;
