dispatch: keep isolated requests apart from the fair queue

Callers saw: while a request that is suspected of crashes waited for its one upstream (full, or with an open circuit), sound requests of the same pool waited as well, though other upstreams were idle. The more suspects and the more urgent they were, the longer; with enough of them, sound requests were refused at their target.

Cause: `grant_next` took the next request from the fair queue, put it back if it couldn't be placed, and ended the check of the queue. The next check came up to 20 ms later and tried one request again. Each try also charged the team and the priority for service that they didn't get, and put the request behind later ones of its team.

Change: isolated requests wait in a list of their own, ordered by priority and arrival, and each check of the queue looks at them before it takes from the fair queue; one whose upstream is closed holds back nobody and is charged nothing. Only isolated requests can be unplaceable while an upstream is open. They keep their deadline and the early refusal behind those that wait before them; isolated bulk work now keeps to the bulk ceiling of its upstream.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! Each model and each plain service has a queue of its own. A single task grants capacity, so that
 //! requests are dispatched in the order that [`fescue_policy::queue`] decides.
 
+mod isolated;
 mod pools;
 mod queue;
 
@@ -98,13 +99,7 @@
     {
         let mut pools = board.pools.lock();
         let upstreams = board.upstreams.lock();
-        let queued_at = now;
-        let entry = pools::Entry {
-            job,
-            sender,
-            queued_at,
-        };
-        pools.push(pool, ticket, entry, &upstreams)?;
+        pools.push(pool, ticket, (job, sender), now, &upstreams)?;
     }
     let guard = QueueGuard {
         board: Arc::clone(board),
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -75,6 +75,8 @@
     pub(super) job: Job,
     pub(super) sender: Sender,
     pub(super) queued_at: Duration,
+    /// When its target can't be met any more.
+    pub(super) deadline: Duration,
 }
 
 /// An upstream assigned to a queued request, and the channel that reports it.
@@ -114,15 +116,21 @@
         &mut self,
         pool: &Pool,
         ticket: Ticket,
-        entry: Entry,
+        (job, sender): (Job, Sender),
+        queued_at: Duration,
         upstreams: &Upstreams,
     ) -> Result<(), Refusal> {
-        let max_wait = self.max_wait(&entry.job);
+        let entry = Entry {
+            deadline: queued_at + self.max_wait(&job),
+            job,
+            sender,
+            queued_at,
+        };
         if !self.queues.contains_key(pool) {
             let queue = PoolQueue::open(&self.book, pool, upstreams);
             self.queues.insert(pool.clone(), queue);
         }
-        self.queues[pool].push(pool, ticket, entry, max_wait, upstreams)
+        self.queues[pool].push(pool, ticket, entry, upstreams)
     }
 
     /// Removes a request that is no longer awaited.
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -12,13 +12,16 @@
 use fescue_policy::retry;
 use rand::rngs::SmallRng;
 
+use super::isolated::Isolated;
 use super::pools::{Entry, Grant, Job, Pool};
 use crate::upstream::{State, Upstreams};
 
 /// The queue of one pool, with the upstreams that requests in it can be assigned to.
 pub(super) struct PoolQueue {
     queue: Queue,
+    /// The requests in `queue`.
     entries: HashMap<Ticket, Entry>,
+    isolated: Isolated,
     rules: Vec<Arc<Upstream>>,
     /// The indices of the upstreams in [`Upstreams`], parallel to `rules`.
     indices: Vec<usize>,
@@ -68,6 +71,7 @@
         let mut queue = Self {
             queue: Queue::default(),
             entries: HashMap::new(),
+            isolated: Isolated::default(),
             rules: Vec::new(),
             indices: Vec::new(),
             ring: Ring::default(),
@@ -88,14 +92,12 @@
         self.queue.set_shares(shares(book));
     }
 
-    /// Adds a request, or refuses it if no upstream serves the pool or the expected wait is over
-    /// `max_wait`.
+    /// Adds a request, or refuses it if no upstream serves the pool or its deadline is expected to pass.
     pub(super) fn push(
         &mut self,
         pool: &Pool,
         ticket: Ticket,
         entry: Entry,
-        max_wait: Duration,
         upstreams: &Upstreams,
     ) -> Result<(), Refusal> {
         if self.rules.is_empty() {
@@ -103,23 +105,31 @@
             return Err(Refusal::not_run(Reason::NotFound, message));
         }
         let job = &entry.job;
-        let ahead = self.queue.ahead(job.priority, &job.team);
+        let isolated = job.isolate.is_some();
+        let ahead = match isolated {
+            true => self.isolated.len(),
+            false => self.queue.ahead(job.priority, &job.team),
+        };
         if ahead > 0 {
             let rate = upstreams.service_rate(&self.indices);
             let wait = retry::expected_wait(ahead, rate);
-            if wait > max_wait {
+            if wait > entry.deadline.saturating_sub(entry.queued_at) {
                 let message = format!("{ahead} requests wait before this one");
                 let refusal = Refusal::not_run(Reason::Overload, message);
                 return Err(refusal.with_retry_after(retry::retry_after(wait)));
             }
         }
+        if isolated {
+            self.isolated.push(ticket, entry);
+            return Ok(());
+        }
         self.queue.push(Waiting {
             ticket,
             priority: job.priority,
             team: job.team.clone(),
             weight: job.weight,
             cost: job.cost,
-            deadline: entry.queued_at + max_wait,
+            deadline: entry.deadline,
         });
         self.entries.insert(ticket, entry);
         Ok(())
@@ -129,18 +139,20 @@
     pub(super) fn remove(&mut self, team: &TeamId, ticket: Ticket) {
         self.queue.remove(team, ticket);
         self.entries.remove(&ticket);
+        self.isolated.remove(ticket);
     }
 
     /// Removes and returns the requests whose deadline has passed.
     pub(super) fn expire(&mut self, now: Duration) -> Vec<Entry> {
         let late = self.queue.expire(now);
         let late = late.iter().map(|waiting| waiting.ticket);
-        late.filter_map(|ticket| self.entries.remove(&ticket))
-            .collect()
+        let late = late.filter_map(|ticket| self.entries.remove(&ticket));
+        let isolated = self.isolated.take_all(|entry| entry.deadline <= now);
+        late.chain(isolated).collect()
     }
 
     pub(super) fn len(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.isolated.len()
     }
 
     /// Assigns the next request to an upstream, if one is open to it.
@@ -149,19 +161,11 @@
         pool: &Pool,
         context: &mut GrantContext<'_>,
     ) -> Option<Grant> {
-        if self.queue.is_empty() || !self.has_capacity(context, None) {
+        if self.len() == 0 || !self.has_capacity(context, None) {
             return None;
         }
-        let only_bulk = self.queue.len() == self.queue.waiting(Priority::Bulk);
-        let bulk_allowed = !only_bulk || self.has_capacity(context, Some(context.bulk_ceiling));
-        let waiting = self.queue.pop(|p| p != Priority::Bulk || bulk_allowed)?;
-        let entry = self.entries.remove(&waiting.ticket)?;
-        let Some(choice) = self.choose(&entry.job, context) else {
-            // An isolated request can only go to its one upstream, which is not open now.
-            self.entries.insert(waiting.ticket, entry);
-            self.queue.push(waiting);
-            return None;
-        };
+        let next = self.next_isolated(context);
+        let (entry, choice) = next.or_else(|| self.next_queued(context))?;
         let upstream = Arc::clone(&self.rules[choice.best.index]);
         context
             .upstreams
@@ -171,6 +175,24 @@
         Some(Grant { upstream, sender })
     }
 
+    /// Removes the first isolated request whose upstream is open.
+    fn next_isolated(&mut self, context: &GrantContext<'_>) -> Option<(Entry, Choice)> {
+        let mut isolated = std::mem::take(&mut self.isolated);
+        let next = isolated.take(|entry| self.isolated(&entry.job, context));
+        self.isolated = isolated;
+        next
+    }
+
+    /// Removes the next request of the fair queue. Unlike an isolated one, it can go to any open upstream.
+    fn next_queued(&mut self, context: &mut GrantContext<'_>) -> Option<(Entry, Choice)> {
+        let only_bulk = self.queue.len() == self.queue.waiting(Priority::Bulk);
+        let bulk_allowed = !only_bulk || self.has_capacity(context, Some(context.bulk_ceiling));
+        let waiting = self.queue.pop(|p| p != Priority::Bulk || bulk_allowed)?;
+        let entry = self.entries.remove(&waiting.ticket)?;
+        let choice = self.choose(&entry.job, context)?;
+        Some((entry, choice))
+    }
+
     /// Returns whether any upstream is open, and below `bulk_ceiling` percent if that is given.
     fn has_capacity(&self, context: &GrantContext<'_>, bulk_ceiling: Option<u64>) -> bool {
         let mut states = self.indices.iter().filter_map(|i| context.upstreams.at(*i));
@@ -189,9 +211,6 @@
             job,
             skip_failed: !job.failed.is_empty(),
         };
-        if let Some(fingerprint) = job.isolate {
-            return self.isolated(fingerprint, &candidates);
-        }
         let choice = placement::choose(context.rng, job.prefix, &self.ring, &candidates);
         if choice.is_some() || !candidates.skip_failed {
             return choice;
@@ -200,11 +219,14 @@
         placement::choose(context.rng, job.prefix, &self.ring, &candidates)
     }
 
-    /// Returns the upstream that all routers send requests with this fingerprint to: the first by hash of
-    /// those that are up, after those where an attempt at the job failed are left out.
-    fn isolated(&self, fingerprint: u64, candidates: &QueueCandidates<'_>) -> Option<Choice> {
-        let (job, upstreams) = (candidates.job, candidates.upstreams);
-        let state = |index: usize| upstreams.at(self.indices[index]).filter(|s| s.is_up());
+    /// Returns the upstream that all routers send requests with the job's fingerprint to, if it is open: the
+    /// first by hash of those that are up, after those where an attempt at the job failed are left out.
+    fn isolated(&self, job: &Job, context: &GrantContext<'_>) -> Option<Choice> {
+        let fingerprint = job.isolate?;
+        let state = |index: usize| {
+            let state = context.upstreams.at(self.indices[index]);
+            state.filter(|state| state.is_up())
+        };
         let score = |index: &usize| {
             let member = state(*index).map(State::ring_id).unwrap_or_default();
             hash::score(fingerprint, member)
@@ -214,9 +236,13 @@
         let first = up().filter(untried).max_by_key(score);
         let index = first.or_else(|| up().max_by_key(score))?;
         let state = state(index)?;
-        let candidate = state.candidate(candidates.local, job.prefix, job.prompt, candidates.now);
+        let bulk = job.priority == Priority::Bulk;
+        if !state.is_open(context.now) || (bulk && !state.is_open_to_bulk(context.bulk_ceiling)) {
+            return None;
+        }
+        let candidate = state.candidate(context.local, job.prefix, job.prompt, context.now);
         let cost = candidate.cost();
-        candidate.open.then_some(Choice {
+        Some(Choice {
             best: placement::Scored { index, cost },
             reason: placement::Reason::Only,
             next: None,
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -71,6 +71,13 @@
         assert!(waited <= AT_ONCE, "{waited:?}");
         permit.expect("a permit")
     }
+
+    /// Opens the circuit of an upstream that gets these jobs.
+    async fn fail(&self, job: &Job) {
+        for _ in 0..3 {
+            self.permit(job.clone()).await.record_outcome(false);
+        }
+    }
 }
 
 fn job(id: &str) -> Job {
@@ -118,3 +125,41 @@
     let permit = dispatcher.permit(job).await;
     assert_eq!(permit.upstream.name.as_str(), "a");
 }
+
+/// Guards against sound requests that wait behind suspect ones whose upstream is closed, though another
+/// upstream is free: each check of the queue ended at the first request that it couldn't place.
+#[tokio::test(start_paused = true)]
+async fn isolated_requests_hold_back_no_others() {
+    let dispatcher = Arc::new(Dispatcher::spawn(&[upstream("a", 8), upstream("b", 64)]));
+    let suspect = |id: &str| Job {
+        priority: Priority::Urgent,
+        ..isolated(id, fingerprint_of("a", "b"))
+    };
+    dispatcher.fail(&suspect("r-0")).await;
+    let spawn = |job: Job| {
+        let dispatcher = Arc::clone(&dispatcher);
+        tokio::spawn(async move { dispatcher.acquire(job).await })
+    };
+    let suspects: Vec<_> = (0..8).map(|n| spawn(suspect(&format!("r-{n}")))).collect();
+    tokio::time::sleep(AT_ONCE).await;
+    let sound: Vec<_> = (0..50).map(|n| spawn(job(&format!("s-{n}")))).collect();
+    let mut permits = Vec::new();
+    for task in sound {
+        let (permit, waited) = task.await.expect("the task completes");
+        assert!(waited <= AT_ONCE, "{waited:?}");
+        permits.push(permit.expect("a permit"));
+    }
+    assert!(
+        permits
+            .iter()
+            .all(|permit| permit.upstream.name.as_str() == "b")
+    );
+    // Once the circuit may be probed, the suspect requests run, one after the other until one succeeds.
+    for task in suspects {
+        let (permit, waited) = task.await.expect("the task completes");
+        let mut permit = permit.expect("a permit");
+        assert_eq!(permit.upstream.name.as_str(), "a");
+        assert!(waited < Duration::from_secs(3), "{waited:?}");
+        permit.record_outcome(true);
+    }
+}
