--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! Each model and each plain service has a queue of its own. A single task grants capacity, so that
 //! requests are dispatched in the order that [`fescue_policy::queue`] decides.
 
+mod isolated;
 mod pools;
 mod queue;
 
@@ -12,7 +13,7 @@
 use std::time::Duration;
 
 use fescue_core::outcome::Reason;
-use fescue_core::rules::Upstream;
+use fescue_core::rules::{RuleSet, Upstream};
 use fescue_core::{Refusal, TeamId};
 use fescue_policy::queue::Ticket;
 use tokio::sync::oneshot;
@@ -98,13 +99,7 @@
     {
         let mut pools = board.pools.lock();
         let upstreams = board.upstreams.lock();
-        let queued_at = now;
-        let entry = pools::Entry {
-            job,
-            sender,
-            queued_at,
-        };
-        pools.push(pool, ticket, entry, &upstreams)?;
+        pools.push(pool, ticket, (job, sender), now, &upstreams)?;
     }
     let guard = QueueGuard {
         board: Arc::clone(board),
@@ -127,6 +122,17 @@
     Refusal::not_run(Reason::Overload, message).with_retry_after(RETRY_AFTER)
 }
 
+/// Applies the rules in force to the upstreams and the queues.
+pub fn apply_rules(board: &Board, book: &Arc<RuleSet>) {
+    let mut pools = board.pools.lock();
+    let mut upstreams = board.upstreams.lock();
+    upstreams.apply_rules(book);
+    pools.apply_rules(book, &upstreams);
+    drop(upstreams);
+    drop(pools);
+    board.capacity.notify_one();
+}
+
 /// Grants capacity whenever some becomes free, for as long as the router runs.
 pub async fn run(board: Arc<Board>) {
     loop {
