gateway: leave a silent upstream only for another one that can take over

What callers saw: a call was answered 504 or 502, and a stream was refused or broken off in the middle, because its upstream was silent for half a second (calls) or 1.8 s (streams) and would have gone on. Their deadlines were far away.

Cause: the time after which another upstream is tried ended the attempt, whether or not another one could follow. The check came afterwards, when the connection was closed: the retry budget was used up, all attempts of the route were made (the last attempt of a stream had the same limit), or no other upstream was listed, in which case the request even waited until its deadline and failed then.

Evidence: on the code before, gateway_silences failed with call-alone 502, call-budget 504, start-alone 502, start-budget 504, start-attempts 504, start-last 504, stream-alone and stream-budget broken off.

Now the limit says from when another upstream may take over. Job::wait then takes a slot at another upstream and a retry first, and ends the attempt only with both; otherwise it goes on waiting and asks again each 200 ms, until the deadline. An upstream that stays silent is left as before if another one is there, which gateway_moves_from_an_upstream_that_stays_silent checks for both kinds of request; it holds before the change too.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -217,6 +217,14 @@
         window.count_request(self.now(), &budget);
     }
 
+    /// Returns whether a retry is left in the fleet's retry budget.
+    pub fn has_retry(&self, service: &ServiceId) -> bool {
+        let budget = Budget::from(self.tuning().retries);
+        let mut retries = self.retries.lock();
+        let window = retries.entry(service.clone()).or_default();
+        window.allows(self.now(), &budget, self.routers())
+    }
+
     /// Takes a retry out of the fleet's retry budget; returns whether one was left.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let budget = Budget::from(self.tuning().retries);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! An admitted request and its attempts at upstreams.
 
 mod placement;
+mod takeover;
 mod withdrawal;
 
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 use crate::pipeline::refuse_stopping;
 use crate::reply::{ResponseBody, full_body};
 use crate::upstreams::{Block, BrokenRequest, Server, Slot};
+pub use takeover::Limit;
 use withdrawal::refuse_blocked;
 
 /// The number of attempts that may fail without the request having run, on top of the route's
@@ -72,6 +74,8 @@
     pub attempt: Attempt,
     /// The time until an upstream may get a request, if limits or pauses kept this one from being sent.
     pub limited: Option<Block>,
+    /// The slot that the next attempt uses, if one was taken before the current attempt was given up.
+    pub secured: Option<Slot>,
     /// Whether no upstream is left that the request may be sent to.
     pub unplaced: bool,
     /// Whether the request was not sent because the process stops before it could end.
@@ -93,11 +97,11 @@
     ///
     /// # Errors
     ///
-    /// How the attempt failed, if no response to this request arrived by `limit`.
+    /// How the attempt failed, if no response to this request arrived within `limit`.
     pub async fn send(
         &mut self,
         last_event: Option<&str>,
-        limit: Instant,
+        limit: Limit,
     ) -> Result<OpenResponse, Failure> {
         let Some(slot) = self.acquire().await else {
             self.unplaced = true;
@@ -130,11 +134,11 @@
         &mut self,
         slot: Slot,
         last_event: Option<&str>,
-        limit: Instant,
+        limit: Limit,
     ) -> Result<OpenResponse, Failure> {
         let once = !self.route.repeatable();
         let server = Arc::clone(slot.server());
-        let opened = timeout_at(limit, server.connect(once)).await;
+        let opened = timeout_at(limit.end, server.connect(once)).await;
         let mut link = match opened {
             Ok(Ok(link)) => link,
             Ok(Err(error)) => {
@@ -157,7 +161,7 @@
         let request = self.request(&slot, last_event);
         self.count_send();
         let sent = Instant::now();
-        let answered = timeout_at(limit, link.send(request)).await;
+        let answered = self.wait(limit, link.send(request)).await;
         let now = self.gateway.now();
         let response = match answered {
             Err(_) => {
@@ -282,17 +286,23 @@
         target.map_or_else(http::Uri::default, http::Uri::from)
     }
 
+    /// Returns whether the route and the state of the request allow another attempt after a failed one.
+    fn may_follow(&self, failure: Failure) -> bool {
+        let repeat = self.route.repeatable();
+        may_retry(failure, repeat, self.route.resumable)
+            && Instant::now() < self.deadline
+            && !self.stopping
+            && !self.unplaced
+            && self.tried.len() < MAX_UNSENT_ATTEMPTS + self.route.attempts as usize
+    }
+
     /// Returns whether another attempt may follow a failed one. Unless the request was
     /// not sent, the attempt is taken out of the service's retry budget.
     pub fn may_continue(&self, failure: Failure) -> bool {
-        let repeat = self.route.repeatable();
-        if !may_retry(failure, repeat, self.route.resumable) || Instant::now() >= self.deadline {
-            return false;
-        }
-        if self.stopping || self.unplaced {
-            return false;
+        if self.secured.is_some() {
+            return true;
         }
-        if self.tried.len() >= MAX_UNSENT_ATTEMPTS + self.route.attempts as usize {
+        if !self.may_follow(failure) {
             return false;
         }
         if let Standing::Quarantined(print) = self.gateway.standing(&self.prints) {
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -27,6 +27,9 @@
     /// Waits for a slot at an upstream; `None` if none may be used in time. A request that may have run
     /// waits until its deadline, since nothing else can complete it.
     pub(super) async fn acquire(&mut self) -> Option<Slot> {
+        if let Some(slot) = self.secured.take() {
+            return Some(slot);
+        }
         let gateway = Arc::clone(&self.gateway);
         let (mut give_up, mut hold_until) = (self.deadline, self.deadline);
         if self.sends == 0 {
@@ -54,7 +57,7 @@
     }
 
     /// Acquires a slot at an upstream whose limit, if it names one, allows the request.
-    async fn try_acquire(&mut self) -> Option<Slot> {
+    pub(super) async fn try_acquire(&mut self) -> Option<Slot> {
         let claim = permits::claim(self.team.as_ref(), self.rank);
         let mut denied = Vec::new();
         let mut shortest: Option<Duration> = None;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -226,6 +226,7 @@
         prints,
         attempt: Attempt::default(),
         limited: None,
+        secured: None,
         unplaced: false,
         stopping: false,
         sent,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,21 +1,22 @@
 //! Requests whose response is read whole before it is passed on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fescue_core::{Refusal, Tokens};
 use fescue_policy::retry::Failure;
 use http::{Response, StatusCode};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
-use crate::job::{Job, OpenResponse, whole_response};
+use crate::job::{Job, Limit, OpenResponse, whole_response};
 use crate::reply::ResponseBody;
 
-/// The time-out of an attempt of an idempotent request, as a multiple of the route's target. The
-/// last attempt may take until the deadline.
+/// The time after which another upstream may take an idempotent request over, as a multiple of the
+/// route's target.
 const TARGETS_PER_ATTEMPT: u32 = 2;
 
-/// The shortest time-out of an attempt that another one may follow.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(120);
+/// The shortest time after which another upstream may take a request over.
+const MIN_TAKEOVER_TIME: Duration = Duration::from_millis(120);
 
 /// Sends a request until an attempt succeeds or no further one is allowed.
 ///
@@ -38,22 +39,22 @@
     }
 }
 
-/// Returns the time by which the next attempt must end.
-fn attempt_limit(job: &Job) -> Instant {
+/// Returns the time that the next attempt may take.
+fn attempt_limit(job: &Job) -> Limit {
     let more = job.route.repeatable() && job.sends + 1 < job.route.attempts;
-    if !more {
-        return job.deadline;
+    let wait = (job.route.target * TARGETS_PER_ATTEMPT).max(MIN_TAKEOVER_TIME);
+    Limit {
+        takeover: more.then(|| Instant::now() + wait),
+        end: job.deadline,
     }
-    let limit = (job.route.target * TARGETS_PER_ATTEMPT).max(MIN_ATTEMPT_TIMEOUT);
-    job.deadline.min(Instant::now() + limit)
 }
 
 /// Reads the body of a response and passes it on. A server error counts as a failed attempt if
 /// another one is allowed.
 async fn finish(
-    job: &Job,
+    job: &mut Job,
     opened: OpenResponse,
-    limit: Instant,
+    limit: Limit,
 ) -> Result<Response<ResponseBody>, Failure> {
     let OpenResponse {
         response,
@@ -62,7 +63,8 @@
     } = opened;
     let (head, body) = response.into_parts();
     let server = slot.server();
-    let body = match timeout_at(limit, job.gateway.buffers.collect(body)).await {
+    let gateway = Arc::clone(&job.gateway);
+    let body = match job.wait(limit, gateway.buffers.collect(body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             tracing::info!(request = job.call.id, error, "can't read the response body");
@@ -70,7 +72,7 @@
             job.record_disconnect(server, true);
             return Err(Failure::Broke);
         }
-        Err(_) => return Err(Failure::TimedOut),
+        Err(failure) => return Err(failure),
     };
     server.record_outcome(job.gateway.now(), true);
     server.recycle(link);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::{RequestGuard, Reservation};
-use crate::job::{Job, OpenResponse, end_to_end, whole_response};
+use crate::job::{Job, Limit, OpenResponse, end_to_end, whole_response};
 use crate::link::Link;
 use crate::reply::{ResponseBody, StreamBody, Truncated};
 use crate::sse::{Event, Splitter};
@@ -28,8 +28,8 @@
 use resume::Form;
 use usage::{Usage, event_tokens};
 
-/// How long an upstream may be silent before a resumable stream moves to another one. It is well
-/// under 2 s, the shortest gap after which callers give up.
+/// How long an upstream may be silent before another one may take a resumable stream over. It is
+/// well under 2 s, the shortest gap after which callers give up.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// The number of events that are buffered for a slow caller.
@@ -188,22 +188,21 @@
     }
 }
 
-/// Returns the time by which the next event must arrive.
-fn next_event_limit(job: &Job) -> Instant {
-    let until = job.deadline + DEADLINE_GRACE;
+/// Returns the time within which the next event must arrive.
+fn next_event_limit(job: &Job) -> Limit {
     let more = job.route.resumable && job.sends < job.route.attempts;
-    if more {
-        let stall = STALL_TIMEOUT.max(job.route.target * 2);
-        return until.min(Instant::now() + stall);
+    let stall = STALL_TIMEOUT.max(job.route.target * 2);
+    Limit {
+        takeover: more.then(|| Instant::now() + stall),
+        end: job.deadline + DEADLINE_GRACE,
     }
-    until
 }
 
 /// Reads the first event of a successful response, or the whole body of any other.
 async fn read_first(
-    job: &Job,
+    job: &mut Job,
     opened: OpenResponse,
-    limit: Instant,
+    limit: Limit,
     usage: &mut Usage,
     form: Option<&Form>,
 ) -> Result<Start, Failure> {
@@ -229,8 +228,8 @@
         return Err(Failure::Broke);
     }
     if !head.status.is_success() {
-        let body = timeout_at(limit, job.gateway.buffers.collect(body)).await;
-        let body = body.map_err(|_| Failure::TimedOut)?;
+        let gateway = Arc::clone(&job.gateway);
+        let body = job.wait(limit, gateway.buffers.collect(body)).await?;
         let body = body.map_err(|error| {
             tracing::info!(request = job.call.id, error, "can't read the response body");
             record_failure(job, &slot, Failure::MidAnswer, false);
@@ -250,7 +249,7 @@
         begun: None,
         settled: false,
     };
-    let first = source.next(limit).await;
+    let first = job.wait(limit, source.next(limit.end)).await.flatten();
     let first = first.inspect_err(|failure| record_failure(job, &source.slot, *failure, false))?;
     source.slot.mark_prompt_read();
     source.slot.server().record_outcome(job.gateway.now(), true);
@@ -374,7 +373,8 @@
                     }
                 }
                 let limit = next_event_limit(&self.job);
-                next = match source.next(limit).await {
+                let waited = self.job.wait(limit, source.next(limit.end)).await;
+                next = match waited.flatten() {
                     Ok(next) => next,
                     Err(failure) => break failure,
                 };
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -35,12 +35,17 @@
         self.requests.push_back(now);
     }
 
-    /// Takes a retry from the budget; returns whether one was left. `routers` share the extra.
-    pub fn take(&mut self, now: Duration, budget: &Budget, routers: usize) -> bool {
+    /// Returns whether a retry is left in the budget. `routers` share the extra.
+    pub fn allows(&mut self, now: Duration, budget: &Budget, routers: usize) -> bool {
         self.expire(now, budget);
         let own = self.requests.len() as f64 * budget.ratio;
         let extra = budget.extra / routers.max(1) as f64;
-        let allowed = (self.retries.len() + 1) as f64 <= (own + extra) * SAFETY_FACTOR;
+        (self.retries.len() + 1) as f64 <= (own + extra) * SAFETY_FACTOR
+    }
+
+    /// Takes a retry from the budget; returns whether one was left. `routers` share the extra.
+    pub fn take(&mut self, now: Duration, budget: &Budget, routers: usize) -> bool {
+        let allowed = self.allows(now, budget, routers);
         if allowed {
             self.retries.push_back(now);
         }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod gateway_refusals;
 mod gateway_restored;
 mod gateway_resumes;
+mod gateway_silences;
 mod gateway_site;
 mod gateway_stops;
 mod money_deaths;
