gateway: pass an upstream's error on unless another attempt is certain

What callers saw: a repeatable call whose upstream answered with a 500 at once was held until its deadline and then failed with a 502 of the gateway, when the service had no other upstream. With one retry left in the budget, a second upstream that would have answered wasn't asked: the caller got a 502 though neither the error was passed on nor the retry used.

Cause: the answer was thrown away after a check that tells only of the retry budget, not whether another upstream can take the request. The check also takes the retry, and was made twice for one failure, here and in the loop of plain::serve: each error cost two retries of the fleet's budget, and the second check could fail after the answer was gone.

Evidence: on the code before, gateway_passes_an_error_on_that_none_can_replace failed with "error-alone 502" after the deadline (error-budget passed), and gateway_replaces_an_error_with_the_last_retry with 502.

The answer is now given up only after Job::secure_next has taken a slot at another upstream and one retry, which the next attempt uses.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -50,7 +50,7 @@
 }
 
 /// Reads the body of a response and passes it on. A server error counts as a failed attempt if
-/// another one is allowed.
+/// another one can follow.
 async fn finish(
     job: &mut Job,
     opened: OpenResponse,
@@ -78,7 +78,7 @@
     server.recycle(link);
     job.gateway.record_complete(&job.attempt);
     let failed = head.status >= StatusCode::INTERNAL_SERVER_ERROR;
-    if failed && job.may_continue(Failure::Broke) {
+    if failed && job.secure_next(Failure::Broke).await {
         tracing::info!(
             request = job.call.id,
             status = head.status.as_u16(),
--- a/crates/router/tests/suite/gateway_silences.rs
+++ b/crates/router/tests/suite/gateway_silences.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use super::gateway_site::Site;
+use super::gateway_site::{Site, status};
 
 /// Longer than the time after which the gateway looks for another upstream, and well before the caller's
 /// deadline.
@@ -214,3 +214,42 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+/// Guards against an upstream's error that its caller doesn't get, or only at the deadline, because the
+/// gateway waits for another upstream where there is none.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_passes_an_error_on_that_none_can_replace() {
+    let mut faults = Vec::new();
+    for (name, count, extra) in [("error-alone", 1, 56.0), ("error-budget", 2, 0.0)] {
+        let site = Site::open(name, 1_000_000).await;
+        let _upstreams = replace(&site, LEDGER, count, |request| {
+            vec![Step::Send(answer(request, "500 Failure"))]
+        })
+        .await;
+        let gateway = site.ready("vm-1").await;
+        reload(&site, "vm-1", &gateway, set_retries(extra)).await;
+        let seen = send(gateway.ports.callers, &site.ask(Kind::Read, name)).await;
+        if status(&seen) != Some(500) {
+            faults.push(format!("{name}: {seen:?}"));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against an attempt after an upstream's error that takes two retries out of the budget, so that
+/// it isn't made with only one left.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_replaces_an_error_with_the_last_retry() {
+    let site = Site::open("error-last", 1_000_000).await;
+    let failures = Arc::new(AtomicUsize::new(0));
+    let _upstreams = replace(&site, LEDGER, 2, move |request| {
+        let number = failures.fetch_add(1, Ordering::Relaxed);
+        let status = ["500 Failure", "200 OK"][number.min(1)];
+        vec![Step::Send(answer(request, status))]
+    })
+    .await;
+    let gateway = site.ready("vm-1").await;
+    // A router alone uses four fifths of the budget.
+    reload(&site, "vm-1", &gateway, set_retries(1.25)).await;
+    let seen = send(gateway.ports.callers, &site.ask(Kind::Read, "e-1")).await;
+    assert!(matches!(seen, Outcome::Served { .. }), "{seen:?}");
+}
