--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the router, with one module per feature.
 
+mod dispatch;
 mod fleet;
 mod gateway;
 mod gateway_crashes;
@@ -12,6 +13,7 @@
 mod gateway_refusals;
 mod gateway_restored;
 mod gateway_resumes;
+mod gateway_silences;
 mod gateway_site;
 mod gateway_stops;
 mod money_deaths;
