job: cap how long the origin of a stream is kept

What callers saw: a stream whose deadline header is beyond what a clock can count (1e22 ms) ended with a closed connection after an upstream had run it.

Cause: the time until which a caller may take the stream up was added to an instant without a bound, which panicked at the first event.

gateway_serves_a_stream_with_an_endless_deadline failed with an empty response before, and passes now.

--- a/crates/gateway/src/job/continuation.rs
+++ b/crates/gateway/src/job/continuation.rs
@@ -92,6 +92,7 @@
     /// Returns when the caller gives the request up, its own later attempts included.
     fn give_up(&self) -> Instant {
         let patience = self.call.deadline.unwrap_or(Duration::ZERO);
-        self.arrival + patience.max(self.route.timeout)
+        // A caller may name any deadline, also one that no clock reaches.
+        self.arrival + patience.max(self.route.timeout).min(origins::MAX_LIFETIME)
     }
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -29,7 +29,7 @@
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
 /// The longest time for which an origin is kept.
-const MAX_LIFETIME: Duration = Duration::from_secs(300);
+pub const MAX_LIFETIME: Duration = Duration::from_secs(300);
 
 /// Identifies a stream: the hash of its team, its model and the attempt that brought its first event. A team
 /// can't name the streams of another one, and no stream goes on with another model.
--- a/crates/router/tests/suite/gateway_resumes.rs
+++ b/crates/router/tests/suite/gateway_resumes.rs
@@ -141,10 +141,21 @@
 
 /// Sends a request and returns all bytes until the end of its connection.
 async fn raw(site: &Site, address: SocketAddr, path: &str, id: &str) -> String {
+    raw_with(site, address, path, id, "3000").await
+}
+
+/// Sends a request as [`raw`] does, with a deadline in milliseconds.
+async fn raw_with(
+    site: &Site,
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    deadline: &str,
+) -> String {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let request = format!(
         "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {}\r\n\
-         x-fescuedrift-attempt-id: {id}\r\nx-fescuedrift-deadline-ms: 3000\r\n\
+         x-fescuedrift-attempt-id: {id}\r\nx-fescuedrift-deadline-ms: {deadline}\r\n\
          x-fescuedrift-model: m\r\nx-fescuedrift-token-usage: 10,30\r\n\
          x-fescuedrift-prompt-prefix: aa:9,{id}:1\r\nconnection: close\r\n\
          content-length: 0\r\n\r\n",
@@ -229,3 +240,17 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against a connection that is closed in place of an answer, since the caller's deadline is longer than
+/// a clock can count.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_serves_a_stream_with_an_endless_deadline() {
+    let site = Site::open("endless", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    for (number, deadline) in ["1e22", "18446744073709551615", "3000"].iter().enumerate() {
+        let id = format!("abc5{number}");
+        let response = raw_with(&site, gateway.ports.callers, "/chat/1", &id, deadline).await;
+        let whole = numbers(&response) == [1, 2, 3, 4, 5, 6] && is_complete(&response);
+        assert!(whole, "{deadline}: {response}");
+    }
+}
