upstreams: tell other routers that an upstream process has ended

That a process has ended was known only to the router that saw it, and was forgotten when any field of the entry changed, or the entry was listed late or again. So a stream could go on, at another router, at an upstream that had started again under its id with another version before its entry was published.

It is a fact about the process now, which lasts until an entry with another start time comes, and goes to all other routers at once and again with each exchange. Idle connections that were closed are noticed when the next request looks for one.

Left open: a router that misses all datagrams, and a restart that nobody notices until the entry comes.

--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -56,9 +56,16 @@
 /// An upstream that is about to leave, or that is no longer listed, ended for another reason.
 pub fn record(gateway: &Gateway, server: &Server) {
     let broken = server.take_broken();
-    // A process that still runs other requests has not ended; it may refuse connections for a while.
-    if !broken.is_empty() || server.running() <= 1 {
-        server.mark_ended();
+    // A process that keeps its connections has not ended; it may refuse new ones for a while.
+    let ended = !broken.is_empty() || server.has_lost_idle();
+    if ended && server.facts.record_ended() {
+        let upstream = server.entry.id.as_str();
+        tracing::info!(
+            upstream,
+            started_at = server.entry.started_at,
+            "upstream process has ended; its version is unknown until it is listed anew"
+        );
+        gateway.outbox.push_ended(&server.entry.id);
     }
     let listed = {
         let servers = gateway.servers.lock();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -43,6 +43,18 @@
     /// What the latest answers of upstreams said of their limits.
     #[serde(default)]
     pub limits: Vec<LimitFinding>,
+    /// The upstream processes that have ended and are still listed.
+    #[serde(default)]
+    pub ended: Vec<EndedFinding>,
+}
+
+/// An upstream process that has ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndedFinding {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its start time by its own clock; a later start has not ended.
+    pub started: Option<u64>,
 }
 
 /// What an upstream's latest answer said of its limit.
@@ -67,6 +79,7 @@
     peers: Mutex<IndexSet<u64>>,
     store: Mutex<IndexSet<u64>>,
     limits: Mutex<IndexSet<UpstreamId>>,
+    ended: Mutex<IndexSet<UpstreamId>>,
     wake: Notify,
 }
 
@@ -92,6 +105,14 @@
         self.wake.notify_one();
     }
 
+    /// Adds an upstream whose end is to be told to the other routers.
+    pub fn push_ended(&self, upstream: &UpstreamId) {
+        let mut ended = self.ended.lock();
+        ended.insert(upstream.clone());
+        ended.truncate(MAX_WAITING);
+        self.wake.notify_one();
+    }
+
     /// Waits until there is something to send to the other routers.
     pub async fn changed(&self) {
         self.wake.notified().await;
@@ -130,7 +151,15 @@
             .filter_map(|server| limit_finding(server, now))
             .collect()
     };
-    let findings = split(&crashes, &limits);
+    let upstreams: Vec<_> = gateway.outbox.ended.lock().drain(..).collect();
+    let ended: Vec<_> = {
+        let servers = gateway.servers.lock();
+        let servers = upstreams
+            .iter()
+            .filter_map(|upstream| servers.get(upstream));
+        servers.filter_map(|server| ended_finding(server)).collect()
+    };
+    let findings = split(&crashes, &limits, &ended);
     let peers = gateway.peers.lock().addresses();
     let to_all = |peer: SocketAddr| findings.iter().map(move |part| (peer, part.clone()));
     peers.into_iter().flat_map(to_all).collect()
@@ -141,14 +170,19 @@
 pub fn all_findings(gateway: &Gateway) -> Vec<(SocketAddr, Findings)> {
     let now = gateway.now();
     let crashes = gateway.suspects.lock().latest(MAX_EXCHANGED, now);
-    let mut limits: Vec<_> = {
+    let (mut limits, mut ended): (Vec<_>, Vec<_>) = {
         let servers = gateway.servers.lock();
-        let findings = servers.iter().map(|server| limit_finding(server, now));
-        findings.flatten().collect()
+        let limits = servers
+            .iter()
+            .filter_map(|server| limit_finding(server, now));
+        let ended = servers.iter().filter_map(|server| ended_finding(server));
+        (limits.collect(), ended.collect())
     };
     limits.shuffle(&mut rand::rng());
     limits.truncate(MAX_EXCHANGED);
-    let findings = split(&crashes, &limits);
+    ended.shuffle(&mut rand::rng());
+    ended.truncate(MAX_EXCHANGED);
+    let findings = split(&crashes, &limits, &ended);
     let peers = gateway.peers.lock().addresses();
     let Some(peer) = peers.choose(&mut rand::rng()) else {
         return Vec::new();
@@ -168,21 +202,42 @@
     })
 }
 
+/// Returns the finding of an upstream process that has ended and is still listed. Without a start time it
+/// can't be told from its successor.
+fn ended_finding(server: &Server) -> Option<EndedFinding> {
+    let started = server.entry.started_at.filter(|_| server.facts.is_ended());
+    started.map(|started| EndedFinding {
+        upstream: server.entry.id.clone(),
+        started: Some(started),
+    })
+}
+
 /// Distributes findings over datagrams.
-fn split(crashes: &[quarantine::Report], limits: &[LimitFinding]) -> Vec<Findings> {
+fn split(
+    crashes: &[quarantine::Report],
+    limits: &[LimitFinding],
+    ended: &[EndedFinding],
+) -> Vec<Findings> {
     let crashes = crashes.chunks(MAX_FINDINGS).map(|crashes| Findings {
         crashes: crashes.to_vec(),
-        limits: Vec::new(),
+        ..Findings::default()
     });
     let limits = limits.chunks(MAX_FINDINGS).map(|limits| Findings {
-        crashes: Vec::new(),
         limits: limits.to_vec(),
+        ..Findings::default()
+    });
+    let ended = ended.chunks(MAX_FINDINGS).map(|ended| Findings {
+        ended: ended.to_vec(),
+        ..Findings::default()
     });
-    crashes.chain(limits).collect()
+    crashes.chain(limits).chain(ended).collect()
 }
 
 /// Takes over what another router has found out.
 pub fn receive(gateway: &Gateway, findings: &Findings) {
+    for finding in &findings.ended {
+        receive_ended(gateway, finding);
+    }
     for finding in &findings.limits {
         receive_limit(gateway, finding);
     }
@@ -200,6 +255,15 @@
     }
 }
 
+fn receive_ended(gateway: &Gateway, finding: &EndedFinding) {
+    let servers = gateway.servers.lock();
+    let server = servers.get(&finding.upstream);
+    let same = server.filter(|server| server.entry.started_at == finding.started);
+    if same.is_some_and(|server| server.facts.record_ended()) {
+        tracing::info!(upstream = %finding.upstream, started_at = finding.started, "another router found that an upstream process has ended");
+    }
+}
+
 fn receive_limit(gateway: &Gateway, finding: &LimitFinding) {
     let now = gateway.now();
     let Some(at) = now.checked_sub(finding.age) else {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -173,6 +173,11 @@
         self.idle_limit = Some(limit);
     }
 
+    /// Returns whether the server has closed the connection, or it broke.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns whether the connection is open and was idle for less than `longest` and the server's
     /// own limit.
     pub fn is_usable(&self, longest: Duration) -> bool {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -118,9 +118,8 @@
             if old.is_same_process(new) {
                 server.facts = Arc::clone(&known.facts);
             }
-            // The same entry, listed anew, says nothing of the process that listens now.
-            if old == new {
-                server.doubtful = Arc::clone(&known.doubtful);
+            if old != new && new.started_at.is_none() {
+                server.facts.clear_ended();
             }
         }
         let id = server.entry.id.clone();
--- a/crates/gateway/src/upstreams/facts.rs
+++ b/crates/gateway/src/upstreams/facts.rs
@@ -58,6 +58,8 @@
     pause: Option<Fact>,
     /// The number of requests placed since the end of the pause.
     placed: u32,
+    /// Whether the process has ended.
+    ended: bool,
 }
 
 impl Known {
@@ -146,6 +148,23 @@
         self.0.lock().leaving.is_some()
     }
 
+    /// Records that the process has ended; returns whether that is news. Another one may start under the same
+    /// id and with another version before its entry is published.
+    pub fn record_ended(&self) -> bool {
+        !std::mem::replace(&mut self.0.lock().ended, true)
+    }
+
+    /// Returns whether the process has ended.
+    pub fn is_ended(&self) -> bool {
+        self.0.lock().ended
+    }
+
+    /// Takes back that the process has ended: its entry has changed, and there is no start time by which a
+    /// successor's entry could be told.
+    pub(super) fn clear_ended(&self) {
+        self.0.lock().ended = false;
+    }
+
     /// Counts a request that is placed at the upstream.
     pub(super) fn count_placed(&self) {
         let mut known = self.0.lock();
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -1,7 +1,6 @@
 //! One listed upstream: its connections, the load that this router puts on it, and what its answers told.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fescue_core::{SoftwareVersion, hash};
@@ -53,6 +52,8 @@
     checking: bool,
     /// The end of the grace period of an upstream that is no longer listed; `None` while listed.
     pub(super) grace_end: Option<Instant>,
+    /// When an idle connection was last found closed.
+    lost_idle: Option<Instant>,
 }
 
 impl State {
@@ -83,10 +84,8 @@
     pub entry: Upstream,
     pub(super) member: u64,
     pub(super) state: Arc<Mutex<State>>,
-    /// What the process said in its answers.
+    /// What is known of the process.
     pub facts: Arc<Facts>,
-    /// Whether the process that published the entry has ended.
-    pub(super) doubtful: Arc<AtomicBool>,
 }
 
 /// The time within which a broken request and a refused connection count as one crash.
@@ -119,7 +118,6 @@
             member,
             state: Arc::default(),
             facts: Arc::default(),
-            doubtful: Arc::default(),
         }
     }
 
@@ -141,6 +139,9 @@
                 if link.is_usable(longest) {
                     return Ok(link);
                 }
+                if link.is_closed() {
+                    state.lost_idle = Some(Instant::now());
+                }
             }
         }
         self.reconnect().await
@@ -266,17 +267,17 @@
         self.is_usable() && self.state.lock().breaker.allows(now)
     }
 
-    /// Returns the version of its software; `None` if it names none, or if another process may have taken
-    /// its place since it named this one.
+    /// Returns the version of its software; `None` if it names none, or if the process that named it has
+    /// ended: another one may have taken its place.
     pub fn version(&self) -> Option<&SoftwareVersion> {
-        let doubtful = self.doubtful.load(Ordering::Relaxed);
-        self.entry.version.as_ref().filter(|_| !doubtful)
+        let version = self.entry.version.as_ref();
+        version.filter(|_| !self.facts.is_ended())
     }
 
-    /// Records that the process has ended. Another one may start under the same id and with another
-    /// version before its entry is published.
-    pub fn mark_ended(&self) {
-        self.doubtful.store(true, Ordering::Relaxed);
+    /// Returns whether an idle connection was found closed within the crash window.
+    pub fn has_lost_idle(&self) -> bool {
+        let lost = self.state.lock().lost_idle;
+        lost.is_some_and(|at| at.elapsed() < CRASH_WINDOW)
     }
 
     /// Returns whether it is an upstream at which a request with these requirements may run at some time.
--- a/crates/gateway/tests/suite/origins.rs
+++ b/crates/gateway/tests/suite/origins.rs
@@ -5,8 +5,10 @@
 
 use fescue_core::TeamId;
 use fescue_gateway::gateway::Gateway;
+use fescue_gateway::gossip;
 use fescue_gateway::model::Upstream;
 use fescue_gateway::origins::{self, Missing, Origin, StreamKey};
+use fescue_gateway::peers::Peer;
 use fescue_gateway::upstreams::{Requirements, Servers};
 use fescue_standin::platform::Faults;
 use fescue_store::table::{Put, Table, Transaction, scan_all};
@@ -228,21 +230,69 @@
     assert!(placed(&servers, "v2").is_empty());
 }
 
+fn started(id: &str, version: &str, at: u64) -> Upstream {
+    Upstream {
+        started_at: Some(at),
+        ..versioned(id, version)
+    }
+}
+
 /// Guards against believing an entry whose process has ended: another version may have been started under
 /// its id.
 #[tokio::test(start_paused = true)]
-async fn version_is_doubtful_after_the_end_of_a_process() {
+async fn version_is_unknown_after_the_end_of_a_process() {
     let mut servers = Servers::default();
-    servers.put(versioned("a", "v1"));
+    servers.put(started("a", "v1", 1));
     let id = "a".parse().expect("an id");
-    servers.get(&id).expect("an upstream").mark_ended();
-    assert!(placed(&servers, "v1").is_empty());
-    // The same entry in a new list says nothing of the process that listens now.
-    servers.put(versioned("a", "v1"));
-    assert!(placed(&servers, "v1").is_empty());
+    let placed_before = Arc::clone(servers.get(&id).expect("an upstream"));
+    // Another entry of the same process, also one that comes late, tells nothing of what listens now.
     servers.put(Upstream {
-        started_at: Some(2),
-        ..versioned("a", "v2")
+        warmup: Duration::from_secs(1),
+        ..started("a", "v1", 1)
     });
+    placed_before.facts.record_ended();
+    assert!(placed(&servers, "v1").is_empty());
+    servers.put(started("a", "v1", 1));
+    assert!(placed(&servers, "v1").is_empty());
+    servers.remove(&id);
+    servers.put(started("a", "v1", 1));
+    assert!(placed(&servers, "v1").is_empty());
+    servers.put(started("a", "v2", 2));
     assert_eq!(placed(&servers, "v2"), ["a"]);
 }
+
+/// Guards against a router that believes the entry of a process whose end another router has seen.
+#[tokio::test(start_paused = true)]
+async fn end_of_a_process_is_told_to_other_routers() {
+    let store = Store::open(1);
+    let (first, second) = (gateway("vm-1", &store), gateway("vm-2", &store));
+    for gateway in [&first, &second] {
+        gateway.servers.lock().put(started("a", "v1", 1));
+        gateway.servers.lock().put(started("b", "v1", 1));
+    }
+    let id = "a".parse().expect("an id");
+    first
+        .servers
+        .lock()
+        .get(&id)
+        .expect("an upstream")
+        .facts
+        .record_ended();
+    first.outbox.push_ended(&id);
+    let peer = Peer::new(
+        "vm-2",
+        "127.0.0.1:9".parse().expect("an address"),
+        second.incarnation,
+    );
+    first.peers.lock().set(vec![peer], true);
+    for (_, findings) in gossip::new_findings(&first) {
+        gossip::receive(&second, &findings);
+    }
+    assert_eq!(placed(&second.servers.lock(), "v1"), ["b"]);
+    second.servers.lock().put(started("a", "v2", 2));
+    // The first router still has the old entry, and says so again.
+    for (_, findings) in gossip::all_findings(&first) {
+        gossip::receive(&second, &findings);
+    }
+    assert_eq!(placed(&second.servers.lock(), "v2"), ["a"]);
+}
