job: refuse a stream without its version before looking at other limits

Found by the review. A stream of which no upstream of its version was left was refused with the Retry-After of the other versions' limits or pauses. And an upstream that declined a stream since its weights differ counted as failing in the circuit breaker, though it is sound. Not covered by a test of its own.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -224,7 +224,9 @@
             self.return_permit(&slot);
         }
         if meta.declined || meta.misdirected {
-            server.record_outcome(now, !meta.misdirected);
+            // An upstream whose weights differ from those that a stream began with is sound.
+            let expected = self.continuation.origin().and_then(|origin| origin.weights);
+            server.record_outcome(now, !meta.misdirected || expected.is_some());
             self.discount_send();
             return Err(Failure::Declined);
         }
@@ -338,12 +340,12 @@
             if self.stopping {
                 return refuse_stopping("the router stopped before the request could be sent");
             }
-            if let Some(block) = self.limited.or_else(|| self.all_blocked()) {
-                return refuse_blocked(block);
-            }
             if !self.can_continue() {
                 return self.refuse_continuation();
             }
+            if let Some(block) = self.limited.or_else(|| self.all_blocked()) {
+                return refuse_blocked(block);
+            }
             let message = "no upstream took the request";
             return Refusal::not_run(Reason::NoUpstream, message)
                 .with_retry_after(RETRY_AFTER_DECLINED);
