origins: space reads and writes of the rows, and keep what this router relays

Found by the review: - Reads after a failed one were not spaced, and a slow read was given up with the request that waited for it. They have a task of their own now, 100 ms apart also after a failure. - The rows of a fleet of 650 overflow the table of streams, which then dropped this router's own open ones. Those stay; the table holds 262,144 (about 26 MB at most, worked out). - All routers together might write 125 of the 200 transactions a second that one part of the store takes, which budgets use too; now 83, less often after a failure and while no other router is known. - The routers that were told are asked first, then up to eight; an answer counts once for each router, and those that have announced their exit are left out. - A router that relays a stream that is taken up remembers its origin too.

--- a/crates/gateway/src/job/continuation.rs
+++ b/crates/gateway/src/job/continuation.rs
@@ -15,15 +15,28 @@
 const RETRY_AFTER_VERSION: Duration = Duration::from_secs(1);
 
 impl Job {
-    /// Returns the key under which the origin of this request's stream is kept.
+    /// Returns the key under which the origin of this request's stream is kept, which names the attempt that
+    /// began it.
     pub fn stream_key(&self) -> StreamKey {
-        StreamKey::new(self.team.as_ref(), &self.call.model, &self.call.id)
+        let resumed = self
+            .call
+            .last_event
+            .as_ref()
+            .and(self.call.resumes.as_ref());
+        let attempt = resumed.unwrap_or(&self.call.id);
+        StreamKey::new(self.team.as_ref(), &self.call.model, attempt)
     }
 
-    /// Records which upstream brought the first event of a new stream, before the event is forwarded.
+    /// Records which upstream brought the first event of a new stream, before the event is forwarded. The
+    /// origin of one that is taken up is recorded here too: its caller may take it up again.
     pub fn record_origin(&mut self, server: &Server, weights: Option<u64>) {
-        if self.continuation != Continuation::Fresh {
-            return;
+        match &self.continuation {
+            Continuation::Fresh => {}
+            Continuation::Unknown => return,
+            Continuation::Of(origin) => {
+                let key = self.stream_key();
+                return origins::record(&self.gateway, key, origin, self.give_up());
+            }
         }
         let Some(version) = self.confirmed_version(server) else {
             self.continuation = Continuation::Unknown;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -23,7 +23,7 @@
 pub use rows::run;
 
 /// The largest number of streams whose origins are kept.
-const MAX_STREAMS: usize = 1 << 16;
+const MAX_STREAMS: usize = 1 << 18;
 
 /// The time beyond the caller's deadline for which an origin is kept.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
@@ -115,15 +115,11 @@
                 entry.origin = None;
             }
             entry.expiry = entry.expiry.max(expiry);
+            entry.open |= open;
             return;
         }
         if known.len() >= MAX_STREAMS {
-            // Evicts the oldest half at once, since removing the first entry shifts all others.
-            tracing::warn!(
-                streams = known.len(),
-                "too many streams; dropping the origins of the oldest"
-            );
-            known.drain(..MAX_STREAMS / 2);
+            evict(&mut known);
         }
         let origin = Some(origin);
         known.insert(
@@ -169,6 +165,20 @@
     }
 }
 
+/// Drops the oldest half of what other routers told; the streams that this router relays stay.
+fn evict(known: &mut IndexMap<StreamKey, Known>) {
+    let streams = known.len();
+    tracing::warn!(
+        streams,
+        "too many streams; dropping the origins of the oldest"
+    );
+    let mut place = 0;
+    known.retain(|_, entry| {
+        place += 1;
+        entry.open || place > MAX_STREAMS / 2
+    });
+}
+
 /// Records the origin of a stream whose first event has arrived, and tells other routers. The caller may
 /// resume it until `deadline`.
 pub fn record(gateway: &Gateway, key: StreamKey, origin: &Origin, deadline: Instant) {
--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -1,9 +1,11 @@
 //! Finds the origin of a stream that another router began: asks other routers, then reads the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use fescue_core::Incarnation;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -22,13 +24,10 @@
 /// The number of other routers that are asked; more than are told, as routers may know different peers.
 const ASKED_ROUTERS: usize = 8;
 
-/// The time to wait for answers before the question is sent again; longer than the longest round trip
+/// The time to wait for answers before more routers are asked, and for theirs; longer than the longest round trip
 /// within a region.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// The number of times that a question is sent.
-const MAX_SENDS: u32 = 2;
-
 /// Tells another router of a stream that has begun.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -52,6 +51,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
     number: u64,
+    from: Incarnation,
     origin: Option<Origin>,
     /// Whether two streams claim the key.
     ambiguous: bool,
@@ -72,12 +72,16 @@
     Unavailable,
 }
 
-/// Tells other routers, which the key selects, of a stream that has begun here.
-pub(super) fn tell(gateway: &Gateway, key: StreamKey, origin: &Origin, lifetime: Duration) {
-    let told = match gateway.routers() {
+fn told_routers(gateway: &Gateway) -> usize {
+    match gateway.routers() {
         routers if routers > LARGE_FLEET => 1,
         _ => TOLD_ROUTERS,
-    };
+    }
+}
+
+/// Tells other routers, which the key selects, of a stream that has begun here.
+pub(super) fn tell(gateway: &Gateway, key: StreamKey, origin: &Origin, lifetime: Duration) {
+    let told = told_routers(gateway);
     let peers = gateway.peers.lock().select(key.0, told);
     let handover = gateway.handover.lock();
     for peer in peers {
@@ -106,6 +110,7 @@
     let known = gateway.origins.get(inquiry.key);
     Answer {
         number: inquiry.number,
+        from: gateway.incarnation,
         ambiguous: known == Some(None),
         origin: known.flatten(),
     }
@@ -125,7 +130,11 @@
 /// # Errors
 ///
 /// Why it can't be told.
-pub async fn find(gateway: &Gateway, key: StreamKey, limit: Instant) -> Result<Origin, Missing> {
+pub async fn find(
+    gateway: &Arc<Gateway>,
+    key: StreamKey,
+    limit: Instant,
+) -> Result<Origin, Missing> {
     let arrival = Instant::now();
     let known = |origin: Option<Origin>| origin.ok_or(Missing::Ambiguous);
     if let Some(origin) = gateway.origins.get(key) {
@@ -142,31 +151,26 @@
     }
 }
 
-/// Asks other routers at once; returns the first answer of one that knows the stream.
+/// Asks the routers that were told, then more; returns the first answer of one that knows the stream.
 async fn ask(gateway: &Gateway, key: StreamKey, limit: Instant) -> Option<Option<Origin>> {
     let peers = gateway.peers.lock().select(key.0, ASKED_ROUTERS);
-    if peers.is_empty() {
-        return None;
-    }
     let number = rand::random();
     let (sender, mut answers) = mpsc::unbounded_channel();
     gateway.origins.inquiries.0.lock().insert(number, sender);
     let _open = OpenInquiry { gateway, number };
-    for _ in 0..MAX_SENDS {
-        send(gateway, &peers, Inquiry { number, key });
+    let told = told_routers(gateway).min(peers.len());
+    let mut answered = HashSet::new();
+    for asked in [&peers[..told], &peers[..]] {
+        send(gateway, asked, Inquiry { number, key });
         let until = limit.min(Instant::now() + ANSWER_TIMEOUT);
-        let mut waiting = peers.len();
-        while waiting > 0 {
+        while answered.len() < asked.len() {
             let Ok(Some(answer)) = timeout_at(until, answers.recv()).await else {
                 break;
             };
-            waiting -= 1;
             if answer.ambiguous || answer.origin.is_some() {
                 return Some(answer.origin);
             }
-        }
-        if waiting == 0 {
-            break;
+            answered.insert(answer.from);
         }
     }
     None
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -10,7 +10,7 @@
 use fescue_core::{Era, ServiceId, SoftwareVersion, record};
 use fescue_store::table::{Commit, Put, Row, TableError, Transaction, scan_all};
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::{Origin, StreamKey};
 use crate::gateway::Gateway;
@@ -24,8 +24,14 @@
 const WRITE_DELAY: Duration = Duration::from_millis(10);
 
 /// The least interval between two writes for each router of the fleet, which bounds the writes of all
-/// routers together to 125 a second.
-const INTERVAL_PER_ROUTER: Duration = Duration::from_millis(8);
+/// routers together to 83 a second: a part of the store takes 200, and budgets are in the same one.
+const INTERVAL_PER_ROUTER: Duration = Duration::from_millis(12);
+
+/// The least interval between two writes of a router that knows no others yet.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Delay of the next write after one that failed.
+const WRITE_BACKOFF: Duration = Duration::from_millis(300);
 
 /// The longest time between two rounds, in which what has expired is dropped.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_secs(1);
@@ -62,11 +68,18 @@
     }
 }
 
+/// When the latest reads began.
+#[derive(Debug, Default)]
+struct Latest {
+    tried: Option<Instant>,
+    good: Option<Instant>,
+}
+
 /// The reads of the rows.
 #[derive(Debug, Default)]
 pub(super) struct Scans {
-    /// When the latest successful read began. Held while a read is under way.
-    latest: tokio::sync::Mutex<Option<Instant>>,
+    /// Held while a read is under way.
+    latest: tokio::sync::Mutex<Latest>,
     malformed: Mutex<MalformedRows>,
 }
 
@@ -81,13 +94,24 @@
         let _begun = timeout(MAX_ROUND_INTERVAL, gateway.origins.begun.notified()).await;
         sleep(WRITE_DELAY).await;
         gateway.origins.drop_expired();
-        if writer.round(&gateway).await {
-            let interval = INTERVAL_PER_ROUTER * gateway.routers() as u32;
-            sleep(interval.saturating_sub(WRITE_DELAY)).await;
+        match writer.round(&gateway).await {
+            Round::Idle => {}
+            Round::Written => {
+                let interval = INTERVAL_PER_ROUTER * gateway.routers() as u32;
+                sleep(interval.max(MIN_WRITE_INTERVAL).saturating_sub(WRITE_DELAY)).await;
+            }
+            Round::Failed => sleep(WRITE_BACKOFF).await,
         }
     }
 }
 
+/// The outcome of a round of the writer.
+enum Round {
+    Idle,
+    Written,
+    Failed,
+}
+
 /// What this process has written.
 #[derive(Default)]
 struct Writer {
@@ -96,8 +120,8 @@
 }
 
 impl Writer {
-    /// Writes the row if it lacks a stream, or if the store may have lost it; returns whether it tried.
-    async fn round(&mut self, gateway: &Gateway) -> bool {
+    /// Writes the row if it lacks a stream, or if the store may have lost it.
+    async fn round(&mut self, gateway: &Gateway) -> Round {
         let mut open = gateway.origins.open();
         let surplus = open.len().saturating_sub(MAX_ROW_STREAMS);
         if surplus > 0 {
@@ -110,7 +134,7 @@
         let era = gateway.table.era();
         let lost = Era::differ(self.era, era);
         if open.is_empty() || !lost && open.iter().all(|(key, ..)| self.written.contains(key)) {
-            return false;
+            return Round::Idle;
         }
         let written = write(gateway, &open).await;
         gateway.metrics.count_store("streams", written.is_ok());
@@ -118,16 +142,22 @@
             Ok(_) => {
                 self.written = open.iter().map(|(key, ..)| *key).collect();
                 self.era = era;
+                Round::Written
             }
             Err(error) => {
                 tracing::info!(%error, streams = open.len(), "origins of streams not written; retrying");
                 gateway.origins.begun.notify_one();
+                Round::Failed
             }
         }
-        true
     }
 }
 
+fn own_key(gateway: &Gateway) -> String {
+    let (vm, process) = (&gateway.settings.vm, gateway.incarnation);
+    format!("{PREFIX}{vm}-{process}")
+}
+
 async fn write(
     gateway: &Gateway,
     open: &[(StreamKey, Origin, Duration)],
@@ -155,33 +185,39 @@
             }),
         }
     }
-    let (vm, process) = (&gateway.settings.vm, gateway.incarnation);
     let mut transaction = Transaction::default();
-    let key = format!("{PREFIX}{vm}-{process}");
-    transaction.put.push(Put::encode(key, &row));
+    transaction.put.push(Put::encode(own_key(gateway), &row));
     gateway.table.transact(&transaction).await
 }
 
-/// Reads all rows, unless a read that began at `since` or later has succeeded.
+/// Reads all rows, unless a read that began at `since` or later has succeeded. The read goes on when its
+/// caller gives up, and serves the next ones.
 ///
 /// # Errors
 ///
 /// Fails if the rows can't be read.
-pub(super) async fn scan_since(gateway: &Gateway, since: Instant) -> Result<(), TableError> {
+pub(super) async fn scan_since(gateway: &Arc<Gateway>, since: Instant) -> Result<(), TableError> {
+    let scan = tokio::spawn(scan(Arc::clone(gateway), since));
+    let scanned = scan.await;
+    scanned.unwrap_or_else(|error| Err(TableError::Unavailable(error.to_string())))
+}
+
+async fn scan(gateway: Arc<Gateway>, since: Instant) -> Result<(), TableError> {
     let mut latest = gateway.origins.scans.latest.lock().await;
-    if latest.is_some_and(|begun| begun >= since) {
+    if latest.good.is_some_and(|begun| begun >= since) {
         return Ok(());
     }
-    if let Some(begun) = *latest {
-        tokio::time::sleep_until(begun + MIN_SCAN_INTERVAL).await;
+    if let Some(begun) = latest.tried {
+        sleep_until(begun + MIN_SCAN_INTERVAL).await;
     }
     let begun = Instant::now();
+    latest.tried = Some(begun);
     let rows = scan_all(&*gateway.table, PREFIX).await;
     gateway.metrics.count_store("streams_scan", rows.is_ok());
-    let expired = take_rows(gateway, &rows?);
-    *latest = Some(begun);
+    let expired = take_rows(&gateway, &rows?);
+    latest.good = Some(begun);
     drop(latest);
-    delete(gateway, expired).await;
+    delete(&gateway, expired).await;
     Ok(())
 }
 
@@ -190,7 +226,7 @@
     let clock = gateway.table.clock().unwrap_or_default();
     let mut expired = Transaction::default();
     let mut streams = 0;
-    for row in rows {
+    for row in rows.iter().filter(|row| row.key != own_key(gateway)) {
         let decoded = match row.decode::<StreamRow>() {
             Ok(decoded) => decoded,
             Err(error) => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -178,9 +178,16 @@
     /// Returns the addresses of up to `most` other routers that a key selects, best first. All routers that
     /// know the same peers select the same ones.
     pub fn select(&self, key: u64, most: usize) -> Vec<SocketAddr> {
-        let members: Vec<_> = self.list.iter().map(|peer| peer.member).collect();
+        let staying = self.staying();
+        let members: Vec<_> = staying.iter().map(|peer| peer.member).collect();
         let selected = homes::order(key, &members, most).into_iter();
-        selected.map(|place| self.list[place].address).collect()
+        selected.map(|place| staying[place].address).collect()
+    }
+
+    /// Returns the routers that have not announced their exit.
+    fn staying(&self) -> Vec<&Peer> {
+        let stays = |peer: &&Peer| self.leaving.get(&peer.address) != Some(&peer.incarnation);
+        self.list.iter().filter(stays).collect()
     }
 
     fn rank(&self, team: &TeamId) -> Vec<Home> {
@@ -188,8 +195,7 @@
     }
 
     fn rank_key(&self, key: u64) -> Vec<Home> {
-        let stays = |peer: &&Peer| self.leaving.get(&peer.address) != Some(&peer.incarnation);
-        let staying: Vec<_> = self.list.iter().filter(stays).collect();
+        let staying = self.staying();
         let mut members: Vec<_> = staying.iter().map(|peer| peer.member).collect();
         members.push(self.own);
         let home = |place: usize| match staying.get(place) {
--- a/crates/gateway/src/pipeline/resume.rs
+++ b/crates/gateway/src/pipeline/resume.rs
@@ -1,5 +1,6 @@
 //! Requests that resume a stream whose connection to the caller broke.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fescue_core::outcome::Reason;
@@ -26,7 +27,7 @@
 ///
 /// The refusal of a request that resumes a stream of unknown origin.
 pub async fn find_continuation(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     route: &Route,
     team: Option<&TeamId>,
     call: &Call,
