ingress: let the time limits of open connections follow the configuration

What callers saw: after a change of idle_timeout_ms or header_timeout_ms, a connection that was opened before it was closed under its next request, without an answer: 2 s after its last response though the limit in force was 15 s, or 0.5 s into a head that might take 10 s. The same befell connections that were opened before the first configuration had come.

Cause: both limits were read once, when the connection was accepted; the one for idle connections was handed to the HTTP library, where it can't be changed.

Evidence: on the code before, gateway_keeps_connections_open_by_the_limits_in_force failed with "i-2: Broken pipe" and gateway_reads_heads_within_the_limits_in_force with "h-2: Ok(Ok(0))".

The connection's own task now checks both limits, each 500 ms, against the longest ones that were in force since the last request: a caller that has been idle may still go by the limit that a change has just shortened. An idle connection is ended by a graceful shutdown, and what has arrived is read first, so a request that was read is answered.

After: both tests pass (one run); the first also covers the shortened limit, and that the connection is closed in the end.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1 listener for callers.
 
 mod recorder;
+mod time_limits;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -20,24 +21,17 @@
 use crate::link;
 use crate::pipeline;
 use crate::reply::{ResponseBody, refusal_response};
-use recorder::{HeadRecorder, RecordedStream};
+use recorder::{HeadRecorder, Overdue, RecordedStream};
+use time_limits::TimeLimits;
 
 /// The largest number of open connections from callers; half of the smallest descriptor limit.
 const MAX_CONNECTIONS: usize = 2000;
 
-/// The idle time-out of a caller's connection while no configuration has been loaded. It also
-/// limits the time that a head may take.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// How much longer than configured an idle connection is kept, so that a caller that reuses it at
-/// the last moment still finds it open.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
-
 /// The read buffer of one connection; a little larger than the largest head.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
-/// The interval of the checks for a head that takes too long.
-const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval of the checks for a head that takes too long and for an idle connection.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The pause after a failed accept, as when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -72,9 +66,7 @@
         tracing::info!(%error, "can't set up a caller's connection; closing it");
         return;
     }
-    let limits = gateway.catalog().map(|catalog| catalog.manifest().limits);
-    let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time) + IDLE_MARGIN;
-    let recorder = Arc::new(HeadRecorder::default());
+    let recorder = Arc::new(HeadRecorder::open(TimeLimits::current(&gateway)));
     let service = {
         let (gateway, recorder) = (Arc::clone(&gateway), Arc::clone(&recorder));
         service_fn(move |request| answer(Arc::clone(&gateway), Arc::clone(&recorder), request))
@@ -82,15 +74,18 @@
     let tapped = RecordedStream::new(stream, Arc::clone(&recorder), Arc::clone(&gateway));
     let io = TokioIo::new(tapped);
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    // The timeout of the HTTP library can't change with the configuration; see `TimeLimits`.
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
     builder.max_buf_size(MAX_BUFFER_BYTES);
     let connection = builder.serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
-    let mut checks = tokio::time::interval(HEAD_CHECK_INTERVAL);
+    let mut checks = tokio::time::interval(CHECK_INTERVAL);
     // A connection opened while the process is draining still has one request served.
     let mut draining = *drain.borrow();
     loop {
         tokio::select! {
+            // A request that has arrived is read before the connection may be closed.
+            biased;
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
                     tracing::debug!(%error, "a caller's connection ended with an error");
@@ -104,10 +99,13 @@
                 }
             }
             _ = checks.tick() => {
-                let limit = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.header_time);
-                if recorder.head_age().is_some_and(|age| age > limit) {
-                    tracing::info!("request head did not arrive in time; closing the caller's connection");
-                    return;
+                match recorder.check(TimeLimits::current(&gateway)) {
+                    None => {}
+                    Some(Overdue::Idle) => connection.as_mut().graceful_shutdown(),
+                    Some(Overdue::Head) => {
+                        tracing::info!("request head did not arrive in time; closing the caller's connection");
+                        return;
+                    }
                 }
             }
         }
@@ -135,7 +133,7 @@
         return Ok(close(response));
     }
     let response = pipeline::serve(Arc::clone(&gateway), request).await;
-    recorder.start_head();
+    recorder.start_head(TimeLimits::current(&gateway));
     // Closing the connection makes the caller reconnect, and so reach another router.
     let turned_away = response.status() == StatusCode::TOO_MANY_REQUESTS;
     let closing = gateway.drain.is_started() || turned_away || gateway.link.should_shed();
--- a/crates/gateway/src/ingress/recorder.rs
+++ b/crates/gateway/src/ingress/recorder.rs
@@ -7,13 +7,13 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::time_limits::TimeLimits;
 use crate::gateway::Gateway;
 
 /// The largest number of bytes recorded per request.
@@ -27,25 +27,40 @@
     bytes: Vec<u8>,
     since: Option<Instant>,
     head: bool,
+    /// When bytes were last read or written.
+    active: Instant,
+    /// The limits on the time until the next request.
+    limits: TimeLimits,
 }
 
 /// The recorder of one connection.
 #[derive(Debug)]
 pub(super) struct HeadRecorder(Mutex<Record>);
 
-impl Default for HeadRecorder {
-    fn default() -> Self {
+/// A part of a connection's time that lasts too long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Overdue {
+    /// A head has begun and isn't complete.
+    Head,
+    /// No request arrives. A response may still be being written.
+    Idle,
+}
+
+impl HeadRecorder {
+    /// Creates the recorder of a new connection.
+    pub(super) fn open(limits: TimeLimits) -> Self {
         Self(Mutex::new(Record {
             bytes: Vec::new(),
             since: None,
             head: true,
+            active: Instant::now(),
+            limits,
         }))
     }
-}
 
-impl HeadRecorder {
     fn record(&self, bytes: &[u8]) {
         let mut record = self.0.lock();
+        record.active = Instant::now();
         if !record.head || bytes.is_empty() {
             return;
         }
@@ -56,9 +71,22 @@
             .extend_from_slice(&bytes[..bytes.len().min(room)]);
     }
 
-    /// Returns the time since the first byte of the head that is arriving; `None` between heads.
-    pub(super) fn head_age(&self) -> Option<Duration> {
-        self.0.lock().since.map(|since| since.elapsed())
+    fn record_write(&self) {
+        self.0.lock().active = Instant::now();
+    }
+
+    /// Extends the limits by those now in force, and returns what lasts longer than they allow.
+    pub(super) fn check(&self, current: TimeLimits) -> Option<Overdue> {
+        let mut record = self.0.lock();
+        if !record.head {
+            return None;
+        }
+        record.limits = record.limits.max(current);
+        let (from, limit, overdue) = match record.since {
+            Some(since) => (since, record.limits.head, Overdue::Head),
+            None => (record.active, record.limits.idle, Overdue::Idle),
+        };
+        (from.elapsed() > limit).then_some(overdue)
     }
 
     /// Takes the recorded head and stops recording, as the request's body follows.
@@ -70,8 +98,10 @@
     }
 
     /// Starts recording again: the next bytes belong to another head.
-    pub(super) fn start_head(&self) {
-        self.0.lock().head = true;
+    pub(super) fn start_head(&self, limits: TimeLimits) {
+        let mut record = self.0.lock();
+        record.head = true;
+        record.limits = limits;
     }
 }
 
@@ -133,6 +163,7 @@
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = written {
             self.gateway.link.count(bytes);
+            self.recorder.record_write();
         }
         written
     }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod gateway_limits;
 mod gateway_pauses;
 mod gateway_refusals;
+mod gateway_reloads;
 mod gateway_restored;
 mod gateway_resumes;
 mod gateway_silences;
