ingress: time the next head from the end of the response before it

What callers saw: a caller that had sent its next request while a stream was still arriving on the same connection lost that stream: the gateway closed the connection in the middle, once header_timeout_ms had passed. The stream had neither its end nor a refusal, and the next request got no answer.

Cause: a head counts as arriving from its first byte, but the HTTP library doesn't read it before the response is complete. The check for slow heads took the wait for the caller's fault. A shorter header_timeout_ms in a new configuration makes it more likely, as it applies at once.

Evidence: gateway_finishes_a_stream_before_the_next_head failed before with an end of the connection after the first two events (the upstream was silent for 2.5 s, the limit was 0.5 s).

The body of each response now tells the recorder when it has ended. Until then neither the limit for heads nor the one for idle connections applies, and the time of a head that has begun is counted from there.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,5 +1,6 @@
 //! The HTTP/1 listener for callers.
 
+mod body;
 mod recorder;
 mod time_limits;
 
@@ -21,6 +22,7 @@
 use crate::link;
 use crate::pipeline;
 use crate::reply::{ResponseBody, refusal_response};
+use body::RecordedBody;
 use recorder::{HeadRecorder, Overdue, RecordedStream};
 use time_limits::TimeLimits;
 
@@ -112,32 +114,42 @@
     }
 }
 
-/// Checks the recorded head of a request, then serves the request.
+/// Serves a request and records when its response begins and ends.
 async fn answer(
     gateway: Arc<Gateway>,
     recorder: Arc<HeadRecorder>,
     request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
+) -> Result<Response<RecordedBody>, Infallible> {
+    let response = respond(&gateway, &recorder, request).await;
+    recorder.start_head(TimeLimits::current(&gateway));
+    Ok(response.map(|body| RecordedBody::new(body, recorder)))
+}
+
+/// Checks the recorded head of a request, then serves the request.
+async fn respond(
+    gateway: &Arc<Gateway>,
+    recorder: &HeadRecorder,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
     let head = recorder.take_head();
     if let Some(problem) = head.ambiguity() {
-        return Ok(close(refusal_response(&Refusal::not_run(
+        return close(refusal_response(&Refusal::not_run(
             Reason::BadRequest,
             problem,
-        ))));
+        )));
     }
     let limits = gateway.catalog().map(|catalog| catalog.manifest().limits);
     if limits.is_some_and(|limits| head.len() > limits.header_bytes) {
         let mut response =
             refusal_response(&Refusal::not_run(Reason::TooLarge, "the head is too large"));
         *response.status_mut() = http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Ok(close(response));
+        return close(response);
     }
-    let response = pipeline::serve(Arc::clone(&gateway), request).await;
-    recorder.start_head(TimeLimits::current(&gateway));
+    let response = pipeline::serve(Arc::clone(gateway), request).await;
     // Closing the connection makes the caller reconnect, and so reach another router.
     let turned_away = response.status() == StatusCode::TOO_MANY_REQUESTS;
     let closing = gateway.drain.is_started() || turned_away || gateway.link.should_shed();
-    Ok(if closing { close(response) } else { response })
+    if closing { close(response) } else { response }
 }
 
 /// Adds `Connection: close`, so that the connection is closed after the response.
--- a/crates/gateway/src/ingress/recorder.rs
+++ b/crates/gateway/src/ingress/recorder.rs
@@ -27,6 +27,8 @@
     bytes: Vec<u8>,
     since: Option<Instant>,
     head: bool,
+    /// Whether a response is being written. The next head isn't read before its end.
+    responding: bool,
     /// When bytes were last read or written.
     active: Instant,
     /// The limits on the time until the next request.
@@ -42,7 +44,7 @@
 pub(super) enum Overdue {
     /// A head has begun and isn't complete.
     Head,
-    /// No request arrives. A response may still be being written.
+    /// No request arrives.
     Idle,
 }
 
@@ -53,6 +55,7 @@
             bytes: Vec::new(),
             since: None,
             head: true,
+            responding: false,
             active: Instant::now(),
             limits,
         }))
@@ -78,7 +81,7 @@
     /// Extends the limits by those now in force, and returns what lasts longer than they allow.
     pub(super) fn check(&self, current: TimeLimits) -> Option<Overdue> {
         let mut record = self.0.lock();
-        if !record.head {
+        if !record.head || record.responding {
             return None;
         }
         record.limits = record.limits.max(current);
@@ -97,12 +100,21 @@
         Head(std::mem::take(&mut record.bytes))
     }
 
-    /// Starts recording again: the next bytes belong to another head.
+    /// Starts recording again as a response begins: the next bytes belong to another head.
     pub(super) fn start_head(&self, limits: TimeLimits) {
         let mut record = self.0.lock();
         record.head = true;
+        record.responding = true;
         record.limits = limits;
     }
+
+    /// Records that the response has ended. The time for a head that has begun to arrive starts now.
+    pub(super) fn end_response(&self) {
+        let mut record = self.0.lock();
+        record.responding = false;
+        record.active = Instant::now();
+        record.since = record.since.map(|_| record.active);
+    }
 }
 
 /// A recorded head, possibly followed by the start of the body.
--- a/crates/router/tests/suite/gateway_reloads.rs
+++ b/crates/router/tests/suite/gateway_reloads.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use fescue_site::manifest::{HOST, manifest};
+use fescue_site::kept::Step;
+use fescue_site::manifest::{ENGINES, HOST, manifest};
 use fescue_site::process::Gateway;
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::gateway_silences::{begin, events, replace};
 use super::gateway_site::Site;
 
 /// The timeout for a configuration to take effect, and for an answer.
@@ -117,3 +119,40 @@
     let served = exchange(&site, &mut stream, "h-2", Duration::from_millis(2500)).await;
     assert_eq!(served, Ok(()));
 }
+
+/// Guards against a stream that is cut because its caller has begun to send the next request, whose head
+/// can't be read before the stream ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_finishes_a_stream_before_the_next_head() {
+    let site = Site::open("reload-next", 1_000_000).await;
+    let _upstreams = replace(&site, ENGINES, 1, |request| {
+        vec![
+            Step::Send(begin(request)),
+            Step::Wait(Duration::from_millis(2500)),
+            Step::Send(events(request, 3..=6)),
+            Step::Close,
+        ]
+    })
+    .await;
+    let gateway = site.ready("vm-1").await;
+    publish(&site, &gateway, 2, set_limit("header_timeout_ms", 500)).await;
+    let stream = TcpStream::connect(gateway.ports.callers).await;
+    let mut stream = stream.expect("a connection");
+    let first = request(&site, "n-1")
+        .replace("/read/1", "/draft/1")
+        .replace(
+            "content-length",
+            "x-fescuedrift-model: m\r\nx-fescuedrift-token-usage: 10,30\r\n\
+         x-fescuedrift-prompt-prefix: aa:9,n1:1\r\ncontent-length",
+        );
+    stream.write_all(first.as_bytes()).await.expect("a write");
+    sleep(Duration::from_millis(300)).await;
+    let next = request(&site, "n-2");
+    stream.write_all(next.as_bytes()).await.expect("a write");
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"0\r\n\r\n") {
+        let read = timeout(WAIT_TIMEOUT, stream.read_buf(&mut bytes)).await;
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(matches!(read, Ok(Ok(1..))), "{read:?} after {text}");
+    }
+}
