--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod fleet;
 mod gateway;
+mod gateway_changes;
 mod gateway_crashes;
 mod gateway_endings;
 mod gateway_entries;
@@ -11,6 +12,7 @@
 mod gateway_limits;
 mod gateway_pauses;
 mod gateway_refusals;
+mod gateway_reloads;
 mod gateway_restored;
 mod gateway_resumes;
 mod gateway_silences;
