--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -100,6 +100,13 @@
         classes.flat_map(|class| class.expire(now)).collect()
     }
 
+    /// Sets the deadlines of the waiting requests for which `deadline` returns one; their order stays.
+    pub fn set_deadlines(&mut self, deadline: impl Fn(Ticket) -> Option<Duration>) {
+        for class in &mut self.classes {
+            class.set_deadlines(&deadline);
+        }
+    }
+
     /// Returns an estimate of the number of requests served before a new one of a team.
     ///
     /// Since teams of the same priority take turns, it counts at most as many requests of each other
--- a/crates/policy/src/queue/class.rs
+++ b/crates/policy/src/queue/class.rs
@@ -103,6 +103,18 @@
         expired
     }
 
+    /// Sets the deadlines of the waiting requests for which `deadline` returns one.
+    pub(super) fn set_deadlines(&mut self, deadline: impl Fn(Ticket) -> Option<Duration>) {
+        self.deadlines.clear();
+        for (team, lane) in &mut self.lanes {
+            for waiting in &mut lane.waiting {
+                waiting.deadline = deadline(waiting.ticket).unwrap_or(waiting.deadline);
+                let key = (waiting.deadline, waiting.ticket, team.clone());
+                self.deadlines.insert(key);
+            }
+        }
+    }
+
     /// Returns an estimate of the number of requests served before a new one of a team.
     pub(super) fn ahead(&self, team: &TeamId) -> usize {
         let own = self.lanes.get(team).map_or(0, |lane| lane.waiting.len());
--- a/crates/policy/tests/suite/queue.rs
+++ b/crates/policy/tests/suite/queue.rs
@@ -178,9 +178,10 @@
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
-    /// For any sequence of operations, each request leaves the queue once: popped, removed or expired.
+    /// For any sequence of operations, each request leaves the queue once: popped, removed or expired, the
+    /// last also after its deadline was changed.
     #[test]
-    fn queue_returns_each_request_once(steps in prop::collection::vec((0..5_u8, 0..3_usize, 0..6_usize, 1..500_u64), 1..300)) {
+    fn queue_returns_each_request_once(steps in prop::collection::vec((0..6_u8, 0..3_usize, 0..6_usize, 1..500_u64), 1..300)) {
         let mut queue = Queue::open(Shares::default());
         let (mut inside, mut now) = (std::collections::BTreeSet::new(), 0);
         for (number, (action, priority, team, cost)) in steps.into_iter().enumerate() {
@@ -204,6 +205,10 @@
                         prop_assert!(inside.remove(&late.ticket.0));
                     }
                 }
+                4 => {
+                    let deadline = |ticket: Ticket| Duration::from_secs(now + ticket.0 % cost);
+                    queue.set_deadlines(|ticket| Some(deadline(ticket)));
+                }
                 _ => {
                     let team = format!("team-{team}").parse().expect("valid team name");
                     if let Some(out) = queue.remove(&team, Ticket(cost % 40)) {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -145,11 +145,11 @@
     }
 }
 
-/// Refuses expired requests and grants the capacity that is free now.
+/// Refuses the requests that can't be served and grants the capacity that is free now.
 pub fn grant_free(board: &Arc<Board>) {
     let now = board.now();
     let mut pools = board.pools.lock();
-    pools.expire(now, target_missed);
+    pools.refuse(now, &target_missed());
     let mut upstreams = board.upstreams.lock();
     let grants = pools.grant(&mut upstreams, &board.me.data_centre, now);
     drop(upstreams);
--- a/crates/router/src/dispatch/isolated.rs
+++ b/crates/router/src/dispatch/isolated.rs
@@ -40,6 +40,11 @@
         taken.map(|(_, entry)| entry).collect()
     }
 
+    /// Iterates over the requests.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.entries.values_mut()
+    }
+
     pub(super) fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -106,6 +106,7 @@
     /// Applies the rules in force; `upstreams` must have applied them before.
     pub fn apply_rules(&mut self, book: &Arc<RuleSet>, upstreams: &Upstreams) {
         self.book = Arc::clone(book);
+        self.queues.retain(|_, queue| !queue.is_unused());
         for (pool, queue) in &mut self.queues {
             queue.apply_rules(book, pool, upstreams);
         }
@@ -121,7 +122,7 @@
         upstreams: &Upstreams,
     ) -> Result<(), Refusal> {
         let entry = Entry {
-            deadline: queued_at + self.max_wait(&job),
+            deadline: queued_at + max_wait(&self.book, &job),
             job,
             sender,
             queued_at,
@@ -140,11 +141,12 @@
         }
     }
 
-    /// Refuses the requests whose deadline has passed.
-    pub(super) fn expire(&mut self, now: Duration, refusal: impl Fn() -> Refusal) {
-        for queue in self.queues.values_mut() {
-            for entry in queue.expire(now) {
-                let _dropped = entry.sender.send(Err(refusal()));
+    /// Refuses the requests whose deadline has passed and those that nothing can serve any more.
+    pub(super) fn refuse(&mut self, now: Duration, late: &Refusal) {
+        for (pool, queue) in &mut self.queues {
+            refuse_all(queue.expire(now), late);
+            if let Some((entries, refusal)) = queue.take_unservable(pool) {
+                refuse_all(entries, &refusal);
             }
         }
     }
@@ -179,12 +181,20 @@
             .map(|(pool, queue)| (pool.to_string(), queue.len()))
             .collect()
     }
+}
 
-    fn max_wait(&self, job: &Job) -> Duration {
-        let rule = self.book.priorities.get(&job.priority);
-        let target = rule.map_or(DEFAULT_TARGET, |rule| rule.target);
-        let percent = self.book.setting(Setting::QueueWait) as u32;
-        let max_wait = target * percent / 100;
-        job.max_wait.map_or(max_wait, |limit| max_wait.min(limit))
+fn refuse_all(entries: Vec<Entry>, refusal: &Refusal) {
+    for entry in entries {
+        // A receiver that is gone belongs to a caller that has disconnected.
+        let _dropped = entry.sender.send(Err(refusal.clone()));
     }
 }
+
+/// Returns how long a request may wait under these rules.
+pub(super) fn max_wait(book: &RuleSet, job: &Job) -> Duration {
+    let rule = book.priorities.get(&job.priority);
+    let target = rule.map_or(DEFAULT_TARGET, |rule| rule.target);
+    let percent = book.setting(Setting::QueueWait) as u32;
+    let max_wait = target * percent / 100;
+    job.max_wait.map_or(max_wait, |limit| max_wait.min(limit))
+}
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -13,7 +13,7 @@
 use rand::rngs::SmallRng;
 
 use super::isolated::Isolated;
-use super::pools::{Entry, Grant, Job, Pool};
+use super::pools::{Entry, Grant, Job, Pool, max_wait};
 use crate::upstream::{State, Upstreams};
 
 /// The queue of one pool, with the upstreams that requests in it can be assigned to.
@@ -80,7 +80,7 @@
         queue
     }
 
-    /// Applies the rules in force.
+    /// Applies the rules in force: the upstreams, the shares, and the deadlines of what waits.
     pub(super) fn apply_rules(&mut self, book: &RuleSet, pool: &Pool, upstreams: &Upstreams) {
         let known = serving(book, pool);
         let known = known.filter_map(|u| Some((u, upstreams.index_of(&u.name)?)));
@@ -90,6 +90,38 @@
         let members = self.indices.iter().filter_map(|index| upstreams.at(*index));
         self.ring = Ring::open(members.map(State::ring_id));
         self.queue.set_shares(shares(book));
+        self.set_deadlines(book);
+    }
+
+    fn set_deadlines(&mut self, book: &RuleSet) {
+        let mut changed = false;
+        for entry in self.entries.values_mut().chain(self.isolated.iter_mut()) {
+            let deadline = entry.queued_at + max_wait(book, &entry.job);
+            changed |= deadline != entry.deadline;
+            entry.deadline = deadline;
+        }
+        if changed {
+            let entries = &self.entries;
+            self.queue
+                .set_deadlines(|ticket| Some(entries.get(&ticket)?.deadline));
+        }
+    }
+
+    /// Returns the refusal of all requests for the pool if nothing can serve them.
+    fn unservable(&self, pool: &Pool) -> Option<Refusal> {
+        self.rules.is_empty().then(|| {
+            let message = format!("no upstream serves {pool}");
+            Refusal::not_run(Reason::NotFound, message)
+        })
+    }
+
+    /// Removes and returns all requests if nothing can serve them, with their refusal.
+    pub(super) fn take_unservable(&mut self, pool: &Pool) -> Option<(Vec<Entry>, Refusal)> {
+        if self.len() == 0 {
+            return None;
+        }
+        let refusal = self.unservable(pool)?;
+        Some((self.expire(Duration::MAX), refusal))
     }
 
     /// Adds a request, or refuses it if no upstream serves the pool or its deadline is expected to pass.
@@ -100,9 +132,8 @@
         entry: Entry,
         upstreams: &Upstreams,
     ) -> Result<(), Refusal> {
-        if self.rules.is_empty() {
-            let message = format!("no upstream serves {pool}");
-            return Err(Refusal::not_run(Reason::NotFound, message));
+        if let Some(refusal) = self.unservable(pool) {
+            return Err(refusal);
         }
         let job = &entry.job;
         let isolated = job.isolate.is_some();
@@ -155,6 +186,11 @@
         self.queue.len() + self.isolated.len()
     }
 
+    /// Returns whether the queue is empty and no upstream serves the pool.
+    pub(super) fn is_unused(&self) -> bool {
+        self.len() == 0 && self.rules.is_empty()
+    }
+
     /// Assigns the next request to an upstream, if one is open to it.
     pub(super) fn grant_next(
         &mut self,
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fescue_core::outcome::Reason;
 use fescue_core::rules::RuleSet;
 use fescue_core::settings::Settings;
-use fescue_core::{Incarnation, Priority, Refusal, Tokens, Weight, hash};
+use fescue_core::{Execution, Incarnation, Priority, Refusal, Tokens, Weight, hash};
 use fescue_router::blackboard::Board;
 use fescue_router::dispatch::{self, Job, Permit, Pool};
 use tokio::time::Instant;
@@ -163,3 +164,54 @@
         permit.record_outcome(true);
     }
 }
+
+/// Fills the only upstream and returns what a request that waits for it gets, and after what time;
+/// `change` is called once it waits.
+async fn waiting(
+    job: Job,
+    change: impl FnOnce(&Dispatcher),
+) -> (Result<Permit, Refusal>, Duration) {
+    let dispatcher = Arc::new(Dispatcher::spawn(&[upstream("a", 1)]));
+    let _running = dispatcher.permit(self::job("r-1")).await;
+    let other = Arc::clone(&dispatcher);
+    let task = tokio::spawn(async move { other.acquire(job).await });
+    tokio::time::sleep(AT_ONCE).await;
+    change(&dispatcher);
+    task.await.expect("the task completes")
+}
+
+fn refusal(result: Result<Permit, Refusal>) -> Refusal {
+    match result {
+        Err(refusal) => refusal,
+        Ok(permit) => panic!("granted {}", permit.upstream.name),
+    }
+}
+
+/// Guards against requests that wait until their target after a change of the rules has taken the last
+/// upstream of their pool away.
+#[tokio::test(start_paused = true)]
+async fn change_that_takes_the_pool_away_refuses_what_waits() {
+    for job in [job("r-2"), isolated("r-2", 1)] {
+        let (result, waited) = waiting(job, |d| d.apply(TARGET, &[])).await;
+        let refusal = refusal(result);
+        assert_eq!(refusal.reason, Reason::NotFound);
+        assert_eq!(refusal.execution, Execution::NotRun);
+        assert!(waited <= 2 * AT_ONCE, "{waited:?}");
+    }
+}
+
+/// Guards against requests that keep the target of old rules: they are refused though the new target still
+/// holds, or wait although it has passed.
+#[tokio::test(start_paused = true)]
+async fn changed_target_applies_to_what_waits() {
+    for (target, expected) in [(2, 2), (40, 40), (0, 0)] {
+        let target = Duration::from_secs(target);
+        for job in [job("r-2"), isolated("r-2", 1)] {
+            let change = |d: &Dispatcher| d.apply(target, &[upstream("a", 1)]);
+            let (result, waited) = waiting(job, change).await;
+            assert_eq!(refusal(result).reason, Reason::Overload);
+            let over = waited.saturating_sub(Duration::from_secs(expected));
+            assert!(waited >= target && over <= 2 * AT_ONCE, "{waited:?}");
+        }
+    }
+}
