dispatch: refuse at once when all upstreams of a pool are gone

Callers saw: with all upstreams of a model leaving, or down for good, each request waited until its target and was then refused for overload.

Change: a pool is lost when each of its upstreams is leaving, or has missed its reports for 2 s. Requests for a lost pool are refused when they come, and those that wait when it is lost: no upstream, not run, Retry-After one second. The 2 s leave room for a sound upstream that is silent for a second, and for one or two reports after that.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -149,8 +149,8 @@
 pub fn grant_free(board: &Arc<Board>) {
     let now = board.now();
     let mut pools = board.pools.lock();
-    pools.refuse(now, &target_missed());
     let mut upstreams = board.upstreams.lock();
+    pools.refuse(&upstreams, now, &target_missed());
     let grants = pools.grant(&mut upstreams, &board.me.data_centre, now);
     drop(upstreams);
     drop(pools);
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -142,10 +142,10 @@
     }
 
     /// Refuses the requests whose deadline has passed and those that nothing can serve any more.
-    pub(super) fn refuse(&mut self, now: Duration, late: &Refusal) {
+    pub(super) fn refuse(&mut self, upstreams: &Upstreams, now: Duration, late: &Refusal) {
         for (pool, queue) in &mut self.queues {
             refuse_all(queue.expire(now), late);
-            if let Some((entries, refusal)) = queue.take_unservable(pool) {
+            if let Some((entries, refusal)) = queue.take_unservable(pool, upstreams, now) {
                 refuse_all(entries, &refusal);
             }
         }
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -16,6 +16,9 @@
 use super::pools::{Entry, Grant, Job, Pool, max_wait};
 use crate::upstream::{State, Upstreams};
 
+/// The `Retry-After` of a request whose pool has lost all upstreams; the next reports may bring one back.
+const LOST_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The queue of one pool, with the upstreams that requests in it can be assigned to.
 pub(super) struct PoolQueue {
     queue: Queue,
@@ -108,23 +111,33 @@
     }
 
     /// Returns the refusal of all requests for the pool if nothing can serve them.
-    fn unservable(&self, pool: &Pool) -> Option<Refusal> {
-        self.rules.is_empty().then(|| {
+    fn unservable(&self, pool: &Pool, upstreams: &Upstreams, now: Duration) -> Option<Refusal> {
+        if self.rules.is_empty() {
             let message = format!("no upstream serves {pool}");
-            Refusal::not_run(Reason::NotFound, message)
+            return Some(Refusal::not_run(Reason::NotFound, message));
+        }
+        let mut states = self.indices.iter().filter_map(|i| upstreams.at(*i));
+        states.all(|state| state.is_lost(now)).then(|| {
+            let message = format!("all upstreams of {pool} are down or leaving");
+            Refusal::not_run(Reason::NoUpstream, message).with_retry_after(LOST_RETRY_AFTER)
         })
     }
 
     /// Removes and returns all requests if nothing can serve them, with their refusal.
-    pub(super) fn take_unservable(&mut self, pool: &Pool) -> Option<(Vec<Entry>, Refusal)> {
+    pub(super) fn take_unservable(
+        &mut self,
+        pool: &Pool,
+        upstreams: &Upstreams,
+        now: Duration,
+    ) -> Option<(Vec<Entry>, Refusal)> {
         if self.len() == 0 {
             return None;
         }
-        let refusal = self.unservable(pool)?;
+        let refusal = self.unservable(pool, upstreams, now)?;
         Some((self.expire(Duration::MAX), refusal))
     }
 
-    /// Adds a request, or refuses it if no upstream serves the pool or its deadline is expected to pass.
+    /// Adds a request, or refuses it if nothing can serve it or its deadline is expected to pass.
     pub(super) fn push(
         &mut self,
         pool: &Pool,
@@ -132,7 +145,7 @@
         entry: Entry,
         upstreams: &Upstreams,
     ) -> Result<(), Refusal> {
-        if let Some(refusal) = self.unservable(pool) {
+        if let Some(refusal) = self.unservable(pool, upstreams, entry.queued_at) {
             return Err(refusal);
         }
         let job = &entry.job;
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -28,6 +28,10 @@
 /// The assumed prefill time of one token that is not cached.
 const PREFILL_PER_TOKEN: Duration = Duration::from_micros(50);
 
+/// The time without a report after which an upstream isn't expected back soon. A sound one may be silent for
+/// a second.
+const LOST_TIME: Duration = Duration::from_secs(2);
+
 /// The assumed network round trip to an upstream in another data centre.
 const ROUND_TRIP: Duration = Duration::from_millis(3);
 
@@ -154,6 +158,12 @@
         !self.leaving && self.down_since.is_none()
     }
 
+    /// Returns whether it isn't worth waiting for the upstream: it is leaving, or has been down for long.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        let down = self.down_since.map(|since| now.saturating_sub(since));
+        self.leaving || down.is_some_and(|down| down >= LOST_TIME)
+    }
+
     /// Returns whether the upstream's load is below `ceiling` percent of its slots, the part that bulk
     /// work may use.
     pub fn is_open_to_bulk(&self, ceiling: u64) -> bool {
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -215,3 +215,50 @@
         }
     }
 }
+
+/// Guards against requests that wait until their target for upstreams that all leave.
+#[tokio::test(start_paused = true)]
+async fn leaving_upstreams_refuse_what_waits() {
+    for job in [job("r-2"), isolated("r-2", 1)] {
+        let leave = |d: &Dispatcher| {
+            let drained = d
+                .board
+                .upstreams
+                .lock()
+                .drain(&"a".parse().expect("a name"));
+            assert!(drained);
+        };
+        let (result, waited) = waiting(job, leave).await;
+        let refusal = refusal(result);
+        assert_eq!(refusal.reason, Reason::NoUpstream);
+        assert_eq!(refusal.execution, Execution::NotRun);
+        assert!(refusal.retry_after.is_some());
+        assert!(waited <= 2 * AT_ONCE, "{waited:?}");
+    }
+}
+
+/// Guards against requests that wait until their target for upstreams that are all down, and against a
+/// refusal because of a silence of a second.
+#[tokio::test(start_paused = true)]
+async fn upstreams_that_stay_down_refuse_what_waits() {
+    let miss = |d: &Dispatcher| {
+        let name = "a".parse().expect("a name");
+        let now = d.board.now();
+        let since = d.board.upstreams.lock().record_missed_report(&name, now);
+        assert!(since.is_some());
+    };
+    for job in [job("r-2"), isolated("r-2", 1)] {
+        let (result, waited) = waiting(job, miss).await;
+        let refusal = refusal(result);
+        assert_eq!(refusal.reason, Reason::NoUpstream);
+        assert!(refusal.retry_after.is_some());
+        let silence = Duration::from_secs(1);
+        assert!(waited > silence && waited < 3 * silence, "{waited:?}");
+    }
+    let dispatcher = Dispatcher::spawn(&[upstream("a", 1)]);
+    miss(&dispatcher);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let (result, waited) = dispatcher.acquire(job("r-3")).await;
+    assert_eq!(refusal(result).reason, Reason::NoUpstream);
+    assert_eq!(waited, Duration::ZERO);
+}
