upstream: a closed kept connection is no missed load report

Callers saw: sound requests that were placed as if they had brought an upstream down, and after a second such event a refusal that says that the request ran and brought upstreams down ("quarantined"), although no upstream had gone down.

Cause: the load report is fetched over a connection from the pool. A server may close a kept connection at any moment, and the client learns of it with the next request, which fails. That failure counted as a missed report: the upstream was closed until the next poll, and the request that had just failed there was blamed for a crash.

--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -52,6 +52,8 @@
 #[derive(Clone)]
 pub struct Client {
     http: legacy::Client<Connector, Full<Bytes>>,
+    /// Opens a connection for each request.
+    unpooled: legacy::Client<Connector, Full<Bytes>>,
 }
 
 /// One attempt to run a request on one upstream.
@@ -88,8 +90,12 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
-        let http = legacy::Client::builder(TokioExecutor::new()).build(Connector(connector));
-        Self { http }
+        let connector = Connector(connector);
+        let http = legacy::Client::builder(TokioExecutor::new()).build(connector.clone());
+        let unpooled = legacy::Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build(connector);
+        Self { http, unpooled }
     }
 
     /// Makes one attempt and returns the answer once its headers have arrived.
@@ -125,19 +131,29 @@
     }
 
     /// Fetches a small answer, or `None` if it does not arrive in time or the request fails.
+    ///
+    /// A kept connection may have been closed by the upstream at any moment, so its failure is followed
+    /// by a request on a new one.
     pub async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
-        let request = Request::builder().method(Method::GET);
-        let request = request.uri(format!("http://{address}{path}"));
-        let request = request.body(Full::default()).ok()?;
+        let uri = format!("http://{address}{path}");
         let fetched = tokio::time::timeout(REPORT_TIMEOUT, async {
-            let reply = self.http.request(request).await.ok()?;
-            count_answer(reply.extensions());
-            collect(reply).await.ok()
+            match fetch(&self.http, &uri).await {
+                Some(body) => Some(body),
+                None => fetch(&self.unpooled, &uri).await,
+            }
         });
         fetched.await.ok()?
     }
 }
 
+async fn fetch(http: &legacy::Client<Connector, Full<Bytes>>, uri: &str) -> Option<Bytes> {
+    let request = Request::builder().method(Method::GET).uri(uri);
+    let reply = http.request(request.body(Full::default()).ok()?).await;
+    let reply = reply.ok()?;
+    count_answer(reply.extensions());
+    collect(reply).await.ok()
+}
+
 /// A limit on the interim responses that precede an answer. They are dropped one by one, so no limit on
 /// the size of a response head ends them.
 struct InterimLimit {
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -15,6 +15,7 @@
 mod gateway_resumes;
 mod gateway_site;
 mod gateway_stops;
+mod load_reports;
 mod money_deaths;
 mod money_figures;
 mod money_generated;
