dispatch, chat, services: one bound for all attempts at a request

Callers saw: a request whose attempts failed waited for an upstream up to its target with each attempt, so up to three times in all, and a request to upstreams that fall silent got no answer for three times `limits.request_ms`.

Cause: the deadline in the queue and the time-out were both counted from the start of the attempt.

Change: a job carries the time that earlier attempts have waited, which is taken off the limit of the next one. At least 50 ms remain, so that a later attempt still goes to an upstream that is free. A request is thus refused or answered within its target plus `request_ms`. A call to a plain service waits for upstreams within its timeout in total; each attempt that is sent has the service's timeout, as before.

--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -22,6 +22,9 @@
 /// The target waiting time of a priority that has no rule.
 const DEFAULT_TARGET: Duration = Duration::from_secs(30);
 
+/// The shortest limit on the time in the queue, enough for a check of the queue.
+const MIN_WAIT: Duration = Duration::from_millis(50);
+
 /// The upstreams that can serve a request: those of one model or one plain service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Pool {
@@ -66,6 +69,8 @@
     pub isolate: Option<u64>,
     /// A limit on the time in the queue, if it is shorter than the one of the priority.
     pub max_wait: Option<Duration>,
+    /// The time that earlier attempts at the request have waited, which counts against both limits.
+    pub waited: Duration,
 }
 
 pub(super) type Sender = oneshot::Sender<Result<Permit, Refusal>>;
@@ -196,5 +201,7 @@
     let target = rule.map_or(DEFAULT_TARGET, |rule| rule.target);
     let percent = book.setting(Setting::QueueWait) as u32;
     let max_wait = target * percent / 100;
-    job.max_wait.map_or(max_wait, |limit| max_wait.min(limit))
+    let max_wait = job.max_wait.map_or(max_wait, |limit| max_wait.min(limit));
+    // A later attempt may have used the time up, and still goes to an upstream that is free.
+    max_wait.saturating_sub(job.waited).max(MIN_WAIT)
 }
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -57,6 +57,8 @@
         sender,
         started: Some(started),
         failed: Vec::new(),
+        waited: Duration::ZERO,
+        deadline: None,
     };
     tokio::spawn(async move {
         run.run(reservation).await;
@@ -157,6 +159,10 @@
     /// Reports to the handler that the answer starts or that the request is refused.
     started: Option<oneshot::Sender<Result<(), Refusal>>>,
     failed: Vec<UpstreamId>,
+    /// The time that the attempts have waited for upstreams.
+    waited: Duration,
+    /// The end of the time-out, which begins when the request is first sent.
+    deadline: Option<Instant>,
 }
 
 impl Run {
@@ -223,7 +229,8 @@
             self.record_crash(failure, started, &sent, begun).await;
             self.log_failure(failure, attempt, progress.delivered);
             attempt += 1;
-            let again = retry::may_retry(failure, true, true) && attempt <= MAX_ATTEMPTS;
+            let in_time = self.deadline.is_none_or(|end| Instant::now() < end);
+            let again = in_time && retry::may_retry(failure, true, true) && attempt <= MAX_ATTEMPTS;
             if !failure.proves_not_run() {
                 may_have_run = Some(failure);
             }
@@ -239,7 +246,7 @@
 
     /// Waits for an upstream, unless the router stops and the rest of the answer might not end
     /// before that.
-    async fn place(&self, delivered: u64) -> Result<Permit, Refusal> {
+    async fn place(&mut self, delivered: u64) -> Result<Permit, Refusal> {
         let board = &self.front.board;
         let prints = &self.chat.prints;
         let now = board.now();
@@ -255,12 +262,15 @@
             failed: self.failed.clone(),
             isolate: (standing == Standing::Suspect).then_some(prints.request),
             max_wait: None,
+            waited: self.waited,
         };
         let pool = Pool::Model(self.chat.model.clone());
         let tokens = self.chat.max_tokens.saturating_sub(delivered);
         let longest = board.stream_time(&self.chat.model, tokens);
         let placed = dispatch::acquire(board, &pool, job);
-        board.unless_too_late(longest, placed).await
+        let placed = board.unless_too_late(longest, placed).await;
+        self.waited += board.now().saturating_sub(now);
+        placed
     }
 
     async fn attempt(
@@ -271,6 +281,9 @@
         progress: &mut Progress,
     ) -> Outcome {
         let board = Arc::clone(&self.front.board);
+        let sent_at = Instant::now();
+        let timeout = board.settings.limits.request_timeout;
+        let deadline = *self.deadline.get_or_insert(sent_at + timeout);
         let call = Call {
             address: permit.upstream.address,
             path: "/v1/chat/completions",
@@ -281,9 +294,8 @@
             fence: board.fence(),
             resume: progress.delivered,
             body: self.chat.body.clone(),
-            timeout: board.settings.limits.request_timeout,
+            timeout: deadline.saturating_duration_since(sent_at),
         };
-        let sent_at = Instant::now();
         let reply = tokio::select! {
             reply = self.front.client.call(&call) => reply,
             () = self.sender.closed() => return Outcome::Disconnected,
@@ -300,7 +312,6 @@
             Err(failure) => return Outcome::Failed(failure),
         };
         self.report_start();
-        let deadline = sent_at + board.settings.limits.request_timeout;
         let record = |pace| board.record_pace(&self.chat.model, pace);
         let meter = PaceMeter::open(sent_at.elapsed(), record);
         let on_begun = || {
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use fescue_core::outcome::Reason;
 use fescue_core::rules::Service;
-use fescue_core::{Execution, Refusal, RequestId, ServiceId, Tokens, hash};
+use fescue_core::{Execution, Refusal, RequestId, ServiceId, Tokens, UpstreamId, hash};
 use fescue_policy::ledger::Reservation;
 use fescue_policy::retry::{self, Failure};
 use fescue_store::claims::{Answer, ClaimOutcome, ClaimRow};
@@ -230,10 +230,14 @@
         self.front.retries.lock().earn();
         let mut failed = Vec::new();
         let mut attempt = 1;
+        let mut waited = Duration::ZERO;
         // The last failure that doesn't prove that the call didn't run.
         let mut may_have_run = None;
         loop {
-            let mut permit = match self.place(&failed).await {
+            let start = self.front.board.now();
+            let placed = self.place(&failed, waited).await;
+            waited += self.front.board.now().saturating_sub(start);
+            let mut permit = match placed {
                 Ok(permit) => permit,
                 Err(refusal) => {
                     return may_have_run.map_or(Outcome::NotRun(refusal), Outcome::Unknown);
@@ -273,7 +277,8 @@
         }
     }
 
-    async fn place(&self, failed: &[fescue_core::UpstreamId]) -> Result<Permit, Refusal> {
+    /// Waits for an upstream, after `waited` before earlier attempts.
+    async fn place(&self, failed: &[UpstreamId], waited: Duration) -> Result<Permit, Refusal> {
         let job = Job {
             request: self.caller.request.clone(),
             team: self.caller.team.name.clone(),
@@ -285,6 +290,7 @@
             failed: failed.to_vec(),
             isolate: None,
             max_wait: Some(self.rule.timeout),
+            waited,
         };
         let pool = Pool::Service(self.rule.name.clone());
         let board = &self.front.board;
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -93,6 +93,7 @@
         failed: Vec::new(),
         isolate: None,
         max_wait: None,
+        waited: Duration::ZERO,
     }
 }
 
@@ -262,3 +263,21 @@
     assert_eq!(refusal(result).reason, Reason::NoUpstream);
     assert_eq!(waited, Duration::ZERO);
 }
+
+/// Guards against a request whose attempts each wait for an upstream as long as the first one may.
+#[tokio::test(start_paused = true)]
+async fn later_attempt_has_the_rest_of_the_wait() {
+    for (spent, left) in [(15, 5), (20, 0), (100, 0)] {
+        let again = Job {
+            waited: Duration::from_secs(spent),
+            ..job("r-2")
+        };
+        let (result, waited) = waiting(again.clone(), |_| ()).await;
+        assert_eq!(refusal(result).reason, Reason::Overload);
+        let over = waited.saturating_sub(Duration::from_secs(left));
+        assert!(over <= AT_ONCE, "{spent} s before: {waited:?}");
+        // An upstream that is free is still used.
+        let dispatcher = Dispatcher::spawn(&[upstream("a", 1)]);
+        dispatcher.permit(again).await;
+    }
+}
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -33,6 +33,7 @@
 mod process_resumes;
 mod process_service;
 mod process_stops;
+mod process_waits;
 mod restored;
 mod rules_in_force;
 mod shutdown_steps;
