upstream, dispatch: record requests and reports for the upstream that they belong to

An upstream with one slot got two requests at a time, and one that had never failed got none for two seconds.

Cause: the end of a request, a load report, a missed report and the limit that an answer names were recorded by the upstream's name. Requests of the removed upstream then freed slots of the new one, ended its probe, opened its circuit or shrank its limit; a poll that was sent before the change closed it, or gave it the old one's incarnation and load; and the check for a crash asked the new address of the name, so an upstream that was replaced while it ran a request could blame that request for the new one's silence.

Change: each state of an upstream has a number, and `Handle` names an upstream together with it. A permit, the poller and the check for a crash record by handle; what belongs to a state that is gone is dropped. A change that keeps the address keeps the state. What peers report still goes by name and incarnation.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -19,6 +19,7 @@
 use tokio::sync::oneshot;
 
 use crate::blackboard::Board;
+use crate::upstream::Handle;
 
 /// The longest interval between two checks of the deadlines in the queues.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -31,21 +32,28 @@
     board: Arc<Board>,
     /// The upstream that the request was assigned to.
     pub upstream: Arc<Upstream>,
+    handle: Handle,
     started: Duration,
     success: Option<bool>,
 }
 
 impl Permit {
-    pub(crate) fn open(board: Arc<Board>, upstream: Arc<Upstream>) -> Self {
+    pub(crate) fn open(board: Arc<Board>, handle: Handle) -> Self {
         let started = board.now();
         Self {
             board,
-            upstream,
+            upstream: Arc::clone(&handle.rule),
+            handle,
             started,
             success: None,
         }
     }
 
+    /// Returns the handle by which the upstream's answers are recorded.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
     /// Returns when the request was assigned, on the board's clock.
     pub fn started(&self) -> Duration {
         self.started
@@ -64,7 +72,7 @@
         let now = self.board.now();
         let took = now.saturating_sub(self.started);
         let mut upstreams = self.board.upstreams.lock();
-        upstreams.record_end(&self.upstream.name, now, took, self.success);
+        upstreams.record_end(&self.handle, now, took, self.success);
         drop(upstreams);
         self.board.capacity.notify_one();
     }
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::rules::{RuleSet, Setting, Upstream};
+use fescue_core::rules::{RuleSet, Setting};
 use fescue_core::{
     DataCentreId, ModelId, Priority, Refusal, RequestId, ServiceId, TeamId, Tokens, UpstreamId,
     Weight,
@@ -17,7 +17,7 @@
 
 use super::Permit;
 use super::queue::{GrantContext, PoolQueue};
-use crate::upstream::Upstreams;
+use crate::upstream::{Handle, Upstreams};
 
 /// The target waiting time of a priority that has no rule.
 const DEFAULT_TARGET: Duration = Duration::from_secs(30);
@@ -86,7 +86,7 @@
 
 /// An upstream assigned to a queued request, and the channel that reports it.
 pub(super) struct Grant {
-    pub(super) upstream: Arc<Upstream>,
+    pub(super) upstream: Handle,
     pub(super) sender: Sender,
 }
 
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -215,10 +215,11 @@
         }
         let next = self.next_isolated(context);
         let (entry, choice) = next.or_else(|| self.next_queued(context))?;
-        let upstream = Arc::clone(&self.rules[choice.best.index]);
+        let index = self.indices[choice.best.index];
+        let upstream = context.upstreams.at(index)?.handle();
         context
             .upstreams
-            .record_start(&upstream.name, entry.job.prefix, context.now);
+            .record_start(&upstream, entry.job.prefix, context.now);
         self.log(pool, &entry, &choice, context.now);
         let sender = entry.sender;
         Some(Grant { upstream, sender })
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -17,8 +17,8 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, body::Body, http::Request};
+use fescue_core::Refusal;
 use fescue_core::outcome::Reason;
-use fescue_core::{Refusal, UpstreamId};
 use fescue_store::claims::Claims;
 use parking_lot::Mutex;
 use serde_json::json;
@@ -26,7 +26,7 @@
 use crate::allowance::Allowance;
 use crate::billing::Biller;
 use crate::blackboard::Board;
-use crate::upstream::{Client, named_limit};
+use crate::upstream::{Client, Handle, named_limit};
 use fescue_policy::rate_limit::Statement;
 use fescue_policy::retry::RetryBudget;
 
@@ -50,13 +50,13 @@
 
 impl Front {
     /// Records what an upstream's answer says of its limit, and tells the peers if that is news.
-    fn record_limit(&self, upstream: &UpstreamId, headers: &HeaderMap) {
+    fn record_limit(&self, upstream: &Handle, headers: &HeaderMap) {
         let statement = Statement {
             rate: named_limit(headers),
             at: self.board.now(),
         };
         let mut upstreams = self.board.upstreams.lock();
-        if upstreams.record_statement(upstream, None, statement) {
+        if upstreams.record_answer(upstream, statement) {
             self.membership_wake.notify_one();
         }
     }
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -1,5 +1,6 @@
 //! Serves chat completions: admission, placement, relay of the answer, and billing.
 
+mod crash;
 mod response;
 
 use std::sync::Arc;
@@ -223,10 +224,11 @@
             };
             permit.record_outcome(false);
             self.failed.push(permit.upstream.name.clone());
-            let started = permit.started();
+            let (started, upstream) = (permit.started(), permit.handle().clone());
             drop(permit);
             let begun = progress.delivered > before;
-            self.record_crash(failure, started, &sent, begun).await;
+            let crash = (failure, started, begun);
+            self.record_crash(&upstream, crash, &sent).await;
             self.log_failure(failure, attempt, progress.delivered);
             attempt += 1;
             let in_time = self.deadline.is_none_or(|end| Instant::now() < end);
@@ -302,8 +304,7 @@
         };
         let reply = match reply {
             Ok(reply) if reply.status().is_success() && relay::is_stream(reply.headers()) => {
-                self.front
-                    .record_limit(&permit.upstream.name, reply.headers());
+                self.front.record_limit(permit.handle(), reply.headers());
                 reply
             }
             // An error of the upstream's own, or a success that is no stream, doesn't prove that it hasn't
@@ -350,39 +351,6 @@
         let _disconnected = started.send(Ok(()));
     }
 
-    /// Counts a crash against the request if the upstream went down while it ran, and against the parts
-    /// of its prompt unless the answer had `begun`.
-    ///
-    /// An upstream that was already down when the request was placed is no evidence against it.
-    async fn record_crash(&self, failure: Failure, started: Duration, sent: &Attempt, begun: bool) {
-        let broke = matches!(failure, Failure::Broke | Failure::MidAnswer);
-        let Some(last) = self.failed.last().filter(|_| broke) else {
-            return;
-        };
-        let board = &self.front.board;
-        let address = board.upstreams.lock().get(last).map(|s| s.rule().address);
-        let Some(address) = address else { return };
-        if self.front.client.get(address, "/v1/load").await.is_some() {
-            return;
-        }
-        let since = board
-            .upstreams
-            .lock()
-            .record_missed_report(last, board.now());
-        if since.is_none_or(|since| started > since) {
-            return;
-        }
-        let crashes: Vec<_> = {
-            let mut suspects = board.suspects.lock();
-            let now = board.now();
-            let changed = suspects.record_crash(sent, begun, now).into_iter();
-            let strength = |print| (print, suspects.evidence(print).strength());
-            changed.map(strength).collect()
-        };
-        tracing::warn!(request = %self.caller.request, upstream = %last, ?crashes, begun, "upstream went down while running the request; counted as a crash");
-        self.front.membership_wake.notify_one();
-    }
-
     fn log_failure(&self, failure: Failure, attempt: u32, delivered: u64) {
         tracing::warn!(
             target: "decision",
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -314,8 +314,7 @@
         };
         let deadline = tokio::time::Instant::now() + self.rule.timeout;
         let reply = self.front.client.call(&call).await?;
-        self.front
-            .record_limit(&permit.upstream.name, reply.headers());
+        self.front.record_limit(permit.handle(), reply.headers());
         let status = reply.status().as_u16();
         let kind = reply.headers().get(header::CONTENT_TYPE);
         let kind = kind.and_then(|k| k.to_str().ok()).unwrap_or_default();
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -3,10 +3,14 @@
 mod call;
 mod connector;
 mod events;
+mod handle;
 mod load;
+mod snapshot;
 mod state;
 
 pub use call::{Call, Client, Reply, collect, named_limit};
 pub use events::Events;
+pub use handle::Handle;
 pub use load::LoadPoller;
-pub use state::{Snapshot, State, Upstreams};
+pub use snapshot::Snapshot;
+pub use state::{State, Upstreams};
--- a/crates/router/src/upstream/load.rs
+++ b/crates/router/src/upstream/load.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::UpstreamId;
 use futures_util::future::join_all;
 use serde::Deserialize;
 
-use super::Client;
+use super::{Client, Handle, State};
 use crate::blackboard::Board;
 
 /// The pause between two polls.
@@ -47,27 +46,25 @@
         let engines: Vec<_> = {
             let upstreams = self.board.upstreams.lock();
             let engines = upstreams.iter().filter(|s| !s.rule().models.is_empty());
-            engines.map(|s| Arc::clone(s.rule())).collect()
+            engines.map(State::handle).collect()
         };
-        let polls = engines
-            .iter()
-            .map(|rule| self.poll_engine(&rule.name, rule.address));
+        let polls = engines.iter().map(|engine| self.poll_engine(engine));
         join_all(polls).await;
         let routers = self.board.members.lock().alive().count() as u32 + 1;
         self.board.upstreams.lock().resize(routers);
         self.board.capacity.notify_one();
     }
 
-    async fn poll_engine(&self, name: &UpstreamId, address: std::net::SocketAddr) {
-        let answer = self.client.get(address, "/v1/load").await;
+    async fn poll_engine(&self, engine: &Handle) {
+        let answer = self.client.get(engine.rule.address, "/v1/load").await;
         let report = answer.and_then(|body| serde_json::from_slice::<Report>(&body).ok());
         let mut upstreams = self.board.upstreams.lock();
         match report {
             Some(report) => {
                 let requests = report.running.saturating_add(report.waiting);
-                upstreams.record_report(name, report.incarnation, requests, report.leaving);
+                upstreams.record_report(engine, report.incarnation, requests, report.leaving);
             }
-            None => drop(upstreams.record_missed_report(name, self.board.now())),
+            None => drop(upstreams.record_missed_report(engine, self.board.now())),
         }
     }
 }
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use fescue_core::rules::{RuleSet, Upstream};
-use fescue_core::{DataCentreId, UpstreamId, hash, record};
+use fescue_core::{DataCentreId, UpstreamId, hash};
 use fescue_policy::limit::{Breaker, Limit, Occupancy};
 use fescue_policy::placement::Candidate;
 use fescue_policy::rate_limit::{Bucket, RequestRate, Statement};
 use indexmap::{IndexMap, IndexSet};
 
+use super::{Handle, Snapshot};
+
 /// The incarnation of an upstream that has given no report.
 const UNKNOWN_INCARNATION: u64 = 0;
 
@@ -39,6 +41,7 @@
 #[derive(Debug)]
 pub struct State {
     rule: Arc<Upstream>,
+    generation: u64,
     ring_id: u64,
     incarnation: u64,
     in_flight: u32,
@@ -56,29 +59,10 @@
     share: Bucket,
 }
 
-record! {
-    /// The state of one upstream in the operators' API.
-    pub struct Snapshot {
-        /// The upstream's name in the rules.
-        pub name: UpstreamId,
-        /// The data centre that the upstream is in.
-        pub data_centre: DataCentreId,
-        /// The number of this router's requests that are running there.
-        pub own: u32,
-        /// The estimated number of requests of all routers there.
-        pub estimate: u32,
-        /// The number of concurrent requests that the limit allows now.
-        pub slots: u32,
-        /// Whether it gets no new work because it is shutting down.
-        pub leaving: bool,
-        /// Whether it gets no new work because it is down or its circuit breaker is open.
-        pub tripped: bool,
-    }
-}
-
 impl State {
-    fn open(rule: Arc<Upstream>) -> Self {
+    fn open(rule: Arc<Upstream>, generation: u64) -> Self {
         Self {
+            generation,
             ring_id: hash::digest64(rule.name.as_str().as_bytes()),
             incarnation: UNKNOWN_INCARNATION,
             in_flight: 0,
@@ -105,6 +89,12 @@
         &self.rule
     }
 
+    /// Returns a handle by which requests and reports are recorded.
+    pub fn handle(&self) -> Handle {
+        let (rule, generation) = (Arc::clone(&self.rule), self.generation);
+        Handle { rule, generation }
+    }
+
     /// Returns the estimated cost of sending the upstream a request from data centre `local`, with a
     /// prompt of `tokens` tokens whose prefix hashes to `prefix`.
     pub fn candidate(
@@ -213,6 +203,8 @@
     /// stale report from another source doesn't reopen them.
     leaving: IndexSet<(UpstreamId, u64)>,
     routers: u32,
+    /// The number of states created so far.
+    generations: u64,
 }
 
 impl Upstreams {
@@ -227,7 +219,9 @@
                 .is_none_or(|s| s.rule.address != rule.address);
             let rule = Arc::new(rule.clone());
             if moved {
-                self.states.insert(name.clone(), State::open(rule));
+                self.generations += 1;
+                let state = State::open(rule, self.generations);
+                self.states.insert(name.clone(), state);
             } else if let Some(state) = known {
                 state.rule = rule;
             }
@@ -248,6 +242,12 @@
         self.states.get(name)
     }
 
+    /// Returns the state that a handle was made from, or `None` if the rules have removed or replaced it.
+    fn current(&mut self, handle: &Handle) -> Option<&mut State> {
+        let state = self.states.get_mut(&handle.rule.name)?;
+        (state.generation == handle.generation).then_some(state)
+    }
+
     /// Returns the index of an upstream for [`Self::at`], valid until the rules change.
     pub fn index_of(&self, name: &UpstreamId) -> Option<usize> {
         self.states.get_index_of(name)
@@ -272,12 +272,18 @@
     }
 
     /// Records that a request is sent to an upstream; `prefix` is the hash of its prompt's prefix.
-    pub fn record_start(&mut self, name: &UpstreamId, prefix: u64, now: Duration) {
-        if let Some(state) = self.states.get_mut(name) {
+    pub fn record_start(&mut self, handle: &Handle, prefix: u64, now: Duration) {
+        if let Some(state) = self.current(handle) {
             state.record_start(prefix, now);
         }
     }
 
+    /// Records what an answer of an upstream said of its limit; returns whether the limit has changed.
+    pub fn record_answer(&mut self, handle: &Handle, statement: Statement) -> bool {
+        let current = self.current(handle).is_some();
+        current && self.record_statement(&handle.rule.name, None, statement)
+    }
+
     /// Records what an answer of an upstream's incarnation said of its limit, unless a later answer is known;
     /// returns whether the limit has changed. `None` stands for the current incarnation.
     pub fn record_statement(
@@ -316,12 +322,12 @@
     /// Records that a request ended; `success` is `None` if that tells nothing of the upstream.
     pub fn record_end(
         &mut self,
-        name: &UpstreamId,
+        handle: &Handle,
         now: Duration,
         took: Duration,
         success: Option<bool>,
     ) {
-        if let Some(state) = self.states.get_mut(name) {
+        if let Some(state) = self.current(handle) {
             state.record_end(now, took, success);
         }
     }
@@ -329,11 +335,15 @@
     /// Records an upstream's own load report.
     pub fn record_report(
         &mut self,
-        name: &UpstreamId,
+        handle: &Handle,
         incarnation: u64,
         requests: u32,
         leaving: bool,
     ) {
+        if self.current(handle).is_none() {
+            return;
+        }
+        let name = &handle.rule.name;
         if leaving {
             self.mark_leaving(name, incarnation);
         }
@@ -356,9 +366,9 @@
 
     /// Records that an upstream gave no report, and returns the time since when it gives none.
     ///
-    /// Returns `None` if the upstream is not in the rules.
-    pub fn record_missed_report(&mut self, name: &UpstreamId, now: Duration) -> Option<Duration> {
-        let state = self.states.get_mut(name)?;
+    /// Returns `None` if the upstream is not in the rules any more.
+    pub fn record_missed_report(&mut self, handle: &Handle, now: Duration) -> Option<Duration> {
+        let state = self.current(handle)?;
         let since = *state.down_since.get_or_insert(now);
         Some(since)
     }
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -245,7 +245,9 @@
     let miss = |d: &Dispatcher| {
         let name = "a".parse().expect("a name");
         let now = d.board.now();
-        let since = d.board.upstreams.lock().record_missed_report(&name, now);
+        let mut upstreams = d.board.upstreams.lock();
+        let handle = upstreams.get(&name).expect("the upstream").handle();
+        let since = upstreams.record_missed_report(&handle, now);
         assert!(since.is_some());
     };
     for job in [job("r-2"), isolated("r-2", 1)] {
@@ -281,3 +283,32 @@
         dispatcher.permit(again).await;
     }
 }
+
+/// Guards against requests of an upstream that a change of the rules has replaced under its name: their ends
+/// freed slots of the new one, and their failures opened its circuit.
+#[tokio::test(start_paused = true)]
+async fn replaced_upstream_counts_for_no_other() {
+    for slots in [1, 8] {
+        let dispatcher = Dispatcher::spawn(&[upstream("a", slots)]);
+        let mut old = Vec::new();
+        for number in 0..slots.min(4) {
+            old.push(dispatcher.permit(job(&format!("r-{number}"))).await);
+        }
+        let moved = upstream("a", slots).replace("at=127.0.0.1:9 ", "at=127.0.0.1:10 ");
+        dispatcher.apply(TARGET, &[moved]);
+        let mut new = vec![dispatcher.permit(job("s-0")).await];
+        for mut permit in old {
+            permit.record_outcome(false);
+        }
+        for number in 1..slots {
+            new.push(dispatcher.permit(job(&format!("s-{number}"))).await);
+        }
+        assert!(
+            new.iter()
+                .all(|permit| permit.upstream.address.port() == 10)
+        );
+        let (full, waited) = dispatcher.acquire(job("t")).await;
+        assert_eq!(refusal(full).reason, Reason::Overload);
+        assert!(waited >= TARGET, "{waited:?}");
+    }
+}
