--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -23,6 +23,7 @@
 mod odd_rows;
 mod process_admin;
 mod process_calls;
+mod process_changes;
 mod process_endings;
 mod process_floods;
 mod process_grace;
