chat, services: a request that no upstream took is told when to return

Callers saw: a 503 "no_upstream" without Retry-After after all upstreams had refused a request, while each other refusal that a retry can mend names one.

--- a/crates/router/src/front/answer.rs
+++ b/crates/router/src/front/answer.rs
@@ -1,8 +1,11 @@
 //! HTTP responses for refusals: a status, a JSON body and whether the request ran.
 
+use std::time::Duration;
+
 use axum::Json;
 use axum::http::{HeaderName, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
+use fescue_core::outcome::Reason;
 use fescue_core::{Execution, Refusal, RequestId};
 use serde_json::{Value, json};
 
@@ -14,6 +17,14 @@
 /// The response header with the request's id.
 pub(super) const REQUEST: HeaderName = HeaderName::from_static("x-request-id");
 
+/// The `Retry-After` of a request that no upstream took.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Returns the refusal of a request that no upstream took, so that it didn't run.
+pub(super) fn not_taken(message: &str) -> Refusal {
+    Refusal::not_run(Reason::NoUpstream, message).with_retry_after(RETRY_AFTER)
+}
+
 /// Builds the response for a refusal, logs it and counts it.
 pub(super) fn refuse(board: &Board, request: Option<&RequestId>, refusal: Refusal) -> Response {
     board.metrics.count_refusal(refusal.reason);
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -422,9 +422,7 @@
         return Refusal::ran(Reason::UpstreamFailed, message);
     }
     match failure {
-        Failure::NotSent | Failure::Declined => {
-            Refusal::not_run(Reason::NoUpstream, "no upstream took the request")
-        }
+        Failure::NotSent | Failure::Declined => answer::not_taken("no upstream took the request"),
         Failure::TimedOut => Refusal::unknown(Reason::Deadline, "no answer came in time"),
         Failure::Broke | Failure::MidAnswer => {
             Refusal::unknown(Reason::UpstreamFailed, "the upstream broke off")
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -271,8 +271,7 @@
             if again && self.front.retries.lock().spend() {
                 continue;
             }
-            let message = "no upstream took the call";
-            let not_run = Outcome::NotRun(Refusal::not_run(Reason::NoUpstream, message));
+            let not_run = Outcome::NotRun(answer::not_taken("no upstream took the call"));
             return may_have_run.map_or(not_run, Outcome::Unknown);
         }
     }
