upstream: a drained upstream of a service says nothing of its replacement

Cause: such an upstream is never polled, so its incarnation was the placeholder for "unknown" for as long as the process ran. Peers repeat which incarnations are leaving with each heartbeat, and the mark of the old one matched the new one.

Change: before any report, the incarnation of an upstream that is not polled is a hash of its address, the same on all routers. One that returns at the same address stays drained, as before.

Test: dispatch::drained_upstream_says_nothing_of_its_replacement; the replacement wasn't up before.

--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -59,12 +59,23 @@
     share: Bucket,
 }
 
+/// Returns the incarnation of an upstream before any report.
+///
+/// One that only serves plain services is never polled. Its address stands for its incarnation, so that peers
+/// don't take it for another one under the same name.
+fn first_incarnation(rule: &Upstream) -> u64 {
+    match rule.models.is_empty() {
+        true => hash::digest64(rule.address.to_string().as_bytes()),
+        false => UNKNOWN_INCARNATION,
+    }
+}
+
 impl State {
     fn open(rule: Arc<Upstream>, generation: u64) -> Self {
         Self {
             generation,
             ring_id: hash::digest64(rule.name.as_str().as_bytes()),
-            incarnation: UNKNOWN_INCARNATION,
+            incarnation: first_incarnation(&rule),
             in_flight: 0,
             limit: Limit::open(rule.slots, 1),
             breaker: Breaker::default(),
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -9,6 +9,7 @@
 use fescue_core::{Execution, Incarnation, Priority, Refusal, Tokens, Weight, hash};
 use fescue_router::blackboard::Board;
 use fescue_router::dispatch::{self, Job, Permit, Pool};
+use fescue_router::upstream::{State, Upstreams};
 use tokio::time::Instant;
 
 /// The target of the standard priority.
@@ -312,3 +313,35 @@
         assert!(waited >= TARGET, "{waited:?}");
     }
 }
+
+/// Guards against a service's upstream that gets no calls for good, since another one that had its name was
+/// drained: it is never polled, so peers repeated that mark without saying which of the two is leaving.
+#[test]
+fn drained_upstream_says_nothing_of_its_replacement() {
+    let rules = |port: u16| {
+        let text = format!(
+            "service purchases price=20 repeat=never timeout=2s # asked by Awa\n\
+             upstream a at=127.0.0.1:{port} data-centre=dakar-1 services=purchases slots=8 \
+             fencing=ignores orders=unchecked # asked by Awa\n"
+        );
+        RuleSet::parse("rules", &text).expect("the rules parse")
+    };
+    let name = "a".parse().expect("a name");
+    let mut upstreams = Upstreams::default();
+    upstreams.apply_rules(&rules(9));
+    assert!(upstreams.drain(&name));
+    let mut peer = Upstreams::default();
+    peer.apply_rules(&rules(9));
+    for (port, up) in [(9, false), (10, true)] {
+        for routers in [&mut upstreams, &mut peer] {
+            routers.apply_rules(&rules(port));
+        }
+        for (name, incarnation) in upstreams.leaving() {
+            peer.mark_leaving(&name, incarnation);
+            upstreams.mark_leaving(&name, incarnation);
+        }
+        for routers in [&upstreams, &peer] {
+            assert_eq!(routers.get(&name).map(State::is_up), Some(up), "{port}");
+        }
+    }
+}
