--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -1,5 +1,6 @@
 //! Serves chat completions: admission, placement, relay of the answer, and billing.
 
+mod crash;
 mod response;
 
 use std::sync::Arc;
@@ -57,6 +58,8 @@
         sender,
         started: Some(started),
         failed: Vec::new(),
+        waited: Duration::ZERO,
+        deadline: None,
     };
     tokio::spawn(async move {
         run.run(reservation).await;
@@ -157,6 +160,10 @@
     /// Reports to the handler that the answer starts or that the request is refused.
     started: Option<oneshot::Sender<Result<(), Refusal>>>,
     failed: Vec<UpstreamId>,
+    /// The time that the attempts have waited for upstreams.
+    waited: Duration,
+    /// The end of the time-out, which begins when the request is first sent.
+    deadline: Option<Instant>,
 }
 
 impl Run {
@@ -217,13 +224,15 @@
             };
             permit.record_outcome(false);
             self.failed.push(permit.upstream.name.clone());
-            let started = permit.started();
+            let (started, upstream) = (permit.started(), permit.handle().clone());
             drop(permit);
             let begun = progress.delivered > before;
-            self.record_crash(failure, started, &sent, begun).await;
+            let crash = (failure, started, begun);
+            self.record_crash(&upstream, crash, &sent).await;
             self.log_failure(failure, attempt, progress.delivered);
             attempt += 1;
-            let again = retry::may_retry(failure, true, true) && attempt <= MAX_ATTEMPTS;
+            let in_time = self.deadline.is_none_or(|end| Instant::now() < end);
+            let again = in_time && retry::may_retry(failure, true, true) && attempt <= MAX_ATTEMPTS;
             if !failure.proves_not_run() {
                 may_have_run = Some(failure);
             }
@@ -239,7 +248,7 @@
 
     /// Waits for an upstream, unless the router stops and the rest of the answer might not end
     /// before that.
-    async fn place(&self, delivered: u64) -> Result<Permit, Refusal> {
+    async fn place(&mut self, delivered: u64) -> Result<Permit, Refusal> {
         let board = &self.front.board;
         let prints = &self.chat.prints;
         let now = board.now();
@@ -255,12 +264,15 @@
             failed: self.failed.clone(),
             isolate: (standing == Standing::Suspect).then_some(prints.request),
             max_wait: None,
+            waited: self.waited,
         };
         let pool = Pool::Model(self.chat.model.clone());
         let tokens = self.chat.max_tokens.saturating_sub(delivered);
         let longest = board.stream_time(&self.chat.model, tokens);
         let placed = dispatch::acquire(board, &pool, job);
-        board.unless_too_late(longest, placed).await
+        let placed = board.unless_too_late(longest, placed).await;
+        self.waited += board.now().saturating_sub(now);
+        placed
     }
 
     async fn attempt(
@@ -271,6 +283,9 @@
         progress: &mut Progress,
     ) -> Outcome {
         let board = Arc::clone(&self.front.board);
+        let sent_at = Instant::now();
+        let timeout = board.settings.limits.request_timeout;
+        let deadline = *self.deadline.get_or_insert(sent_at + timeout);
         let call = Call {
             address: permit.upstream.address,
             path: "/v1/chat/completions",
@@ -281,17 +296,15 @@
             fence: board.fence(),
             resume: progress.delivered,
             body: self.chat.body.clone(),
-            timeout: board.settings.limits.request_timeout,
+            timeout: deadline.saturating_duration_since(sent_at),
         };
-        let sent_at = Instant::now();
         let reply = tokio::select! {
             reply = self.front.client.call(&call) => reply,
             () = self.sender.closed() => return Outcome::Disconnected,
         };
         let reply = match reply {
             Ok(reply) if reply.status().is_success() && relay::is_stream(reply.headers()) => {
-                self.front
-                    .record_limit(&permit.upstream.name, reply.headers());
+                self.front.record_limit(permit.handle(), reply.headers());
                 reply
             }
             // An error of the upstream's own, or a success that is no stream, doesn't prove that it hasn't
@@ -300,7 +313,6 @@
             Err(failure) => return Outcome::Failed(failure),
         };
         self.report_start();
-        let deadline = sent_at + board.settings.limits.request_timeout;
         let record = |pace| board.record_pace(&self.chat.model, pace);
         let meter = PaceMeter::open(sent_at.elapsed(), record);
         let on_begun = || {
@@ -339,39 +351,6 @@
         let _disconnected = started.send(Ok(()));
     }
 
-    /// Counts a crash against the request if the upstream went down while it ran, and against the parts
-    /// of its prompt unless the answer had `begun`.
-    ///
-    /// An upstream that was already down when the request was placed is no evidence against it.
-    async fn record_crash(&self, failure: Failure, started: Duration, sent: &Attempt, begun: bool) {
-        let broke = matches!(failure, Failure::Broke | Failure::MidAnswer);
-        let Some(last) = self.failed.last().filter(|_| broke) else {
-            return;
-        };
-        let board = &self.front.board;
-        let address = board.upstreams.lock().get(last).map(|s| s.rule().address);
-        let Some(address) = address else { return };
-        if self.front.client.get(address, "/v1/load").await.is_some() {
-            return;
-        }
-        let since = board
-            .upstreams
-            .lock()
-            .record_missed_report(last, board.now());
-        if since.is_none_or(|since| started > since) {
-            return;
-        }
-        let crashes: Vec<_> = {
-            let mut suspects = board.suspects.lock();
-            let now = board.now();
-            let changed = suspects.record_crash(sent, begun, now).into_iter();
-            let strength = |print| (print, suspects.evidence(print).strength());
-            changed.map(strength).collect()
-        };
-        tracing::warn!(request = %self.caller.request, upstream = %last, ?crashes, begun, "upstream went down while running the request; counted as a crash");
-        self.front.membership_wake.notify_one();
-    }
-
     fn log_failure(&self, failure: Failure, attempt: u32, delivered: u64) {
         tracing::warn!(
             target: "decision",
@@ -443,9 +422,7 @@
         return Refusal::ran(Reason::UpstreamFailed, message);
     }
     match failure {
-        Failure::NotSent | Failure::Declined => {
-            Refusal::not_run(Reason::NoUpstream, "no upstream took the request")
-        }
+        Failure::NotSent | Failure::Declined => answer::not_taken("no upstream took the request"),
         Failure::TimedOut => Refusal::unknown(Reason::Deadline, "no answer came in time"),
         Failure::Broke | Failure::MidAnswer => {
             Refusal::unknown(Reason::UpstreamFailed, "the upstream broke off")
