router tests: tell a wait until the target by the refusal, not by the clock

A request that waits until its target is refused with a text of its own, which the test looks for instead; how long requests wait is tested on a paused clock in tests/suite/dispatch.rs.

--- a/crates/router/tests/suite/process_refusals.rs
+++ b/crates/router/tests/suite/process_refusals.rs
@@ -1,7 +1,7 @@
 //! Refusals of earlier requests that a faulty upstream writes on a kept connection, and refusals after a
 //! request may have run.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use fescue_site::kept::{KeptUpstream, Step};
 use fescue_site::scripted::RequestHead;
@@ -112,10 +112,6 @@
     }
 }
 
-/// The longest wait of a request that may have brought its upstream down: the time for which a circuit stays
-/// open, once for each attempt.
-const LONGEST_WAIT: Duration = Duration::from_secs(8);
-
 /// Guards against a promise that a request has not run after one upstream answered it with an error of its
 /// own, or broke off, and the next one refused it; and against a request that waits until its target for the
 /// upstream where it failed.
@@ -148,10 +144,9 @@
         site.wait_for_version(version).await;
         for number in 0..4 {
             let id = format!("c-{case}-{number}");
-            let start = Instant::now();
             let seen = site.ask(0, &chat(&id, "lot", 5)).await;
-            let waited = start.elapsed();
-            assert!(waited < LONGEST_WAIT, "{id}: {waited:?}: {}", seen.body);
+            // A request that waits until the target of its priority is refused for that.
+            assert!(!seen.body.contains("target"), "{id}: {}", seen.body);
             let ran = upstreams[0]
                 .received()
                 .iter()
