--- a/crates/router/tests/suite/gateway_site.rs
+++ b/crates/router/tests/suite/gateway_site.rs
@@ -10,6 +10,7 @@
 use fescue_site::process::{Gateway, GatewayOptions, Ports};
 use fescue_site::store::{Server, Store};
 use parking_lot::Mutex;
+use serde_json::{Value, json};
 
 /// The timeout for a gateway to become ready.
 pub const READY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -64,7 +65,17 @@
     }
 
     pub fn register(&self, upstream: &Upstream, service: &str, draining: bool) {
-        let entry = upstream_entry(service, upstream.address, 8, draining);
+        let state = if draining { "draining" } else { "available" };
+        self.register_with(upstream, service, &json!({ "state": state }));
+    }
+
+    /// Registers an upstream with an entry in which `fields` replace what it would say.
+    pub fn register_with(&self, upstream: &Upstream, service: &str, fields: &Value) {
+        let mut entry = upstream_entry(service, upstream.address, 8, false);
+        entry["version"] = json!(upstream.version);
+        for (name, value) in fields.as_object().into_iter().flatten() {
+            entry[name] = value.clone();
+        }
         self.store.store.put("servers", &upstream.id, &entry);
     }
 
