gateway: tests of streams that break while two software versions serve

What callers saw: streams that hold events of two software versions, within one response or over their attempts. Nothing reads the version of an upstream's entry, nor Resumes: a stream goes on wherever placement puts it.

21 tests with real router processes, in crates/router/tests/suite/ gateway_versions: upstreams that break streams; take-ups at other routers, with the first one running, killed, all killed, the store silent; several take-ups of one stream; planned stops and a rolling replacement; no upstream of the version left; Resumes that is missing, unknown, another team's, long or no text; entries without a readable version; an address or id that another version has taken over, listed or not yet; a store that comes back from an older copy; a route that leads to two services, and one that was changed.

Each checks every event of every stream. Where streams must go on, at least 90 in 100 of those that were resumed do, with two upstreams of their version left; where they can't, each is refused with status 503 within 1 s of a deadline of 30 s.

An entry whose version is an object names no upstream to use, as platform/tests/suite/odd_entries.rs demands; so the tests have null, an empty and an overlong text and a number, which are used and name no version.

--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod gateway_resumes;
 mod gateway_site;
 mod gateway_stops;
+mod gateway_versions;
 mod money_deaths;
 mod money_figures;
 mod money_generated;
