gateway: restart upstreams in the tests of versions as the platform does

Two tests of streams joined at restarted upstreams asked for what nobody can know. Entries named no `born`, which the platform's entries always do, so that an entry from an older copy could not be told from a newer one. And another version listened on the address within milliseconds, which is the same to a router as a reset of all its connections.

Entries now name `born` as their processes start, and nothing listens for one second while upstreams of two addresses are replaced. What is checked stays as strict: no stream is joined, whether it began before the restart, between it and the new entry, or while an older copy of the store lists the old entry.

--- a/crates/router/tests/suite/gateway_versions.rs
+++ b/crates/router/tests/suite/gateway_versions.rs
@@ -9,8 +9,9 @@
 mod services;
 mod stops;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use fescue_site::caller::{Kind, RequestSpec};
 use fescue_site::engine::{Faults, Upstream};
@@ -55,6 +56,8 @@
     site: Site,
     gateways: Vec<Gateway>,
     engines: Vec<Upstream>,
+    /// When the process of each engine started, by id, in milliseconds since 1970.
+    born: HashMap<String, u64>,
     manifests: u64,
     streams: usize,
 }
@@ -70,6 +73,7 @@
             site,
             gateways: Vec::new(),
             engines: Vec::new(),
+            born: HashMap::new(),
             manifests: 1,
             streams: 0,
         };
@@ -109,27 +113,38 @@
     /// Starts an engine and registers it.
     async fn add(&mut self, id: &str, version: &str) {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let engine = Upstream::bind(any, id, version, &self.site.record).await;
-        let engine = engine.expect("an engine");
+        let engine = self.bind(any, id, version).await;
         self.register(&engine, &json!({}));
         self.engines.push(engine);
     }
 
-    /// Registers an engine with more slots than a test has streams; `fields` replace those of its entry.
+    async fn bind(&mut self, address: SocketAddr, id: &str, version: &str) -> Upstream {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now = now.expect("a time after 1970").as_millis() as u64;
+        self.born.insert(id.to_owned(), now);
+        let engine = Upstream::bind(address, id, version, &self.site.record).await;
+        engine.expect("the address is free")
+    }
+
+    /// Registers an engine; `fields` replace those of its entry.
     fn register(&self, engine: &Upstream, fields: &Value) {
-        let mut entry = json!({ "slots": 256 });
+        self.register_at(ENGINES, engine, fields);
+    }
+
+    /// Registers an engine of a service, with more slots than a test has streams.
+    fn register_at(&self, service: &str, engine: &Upstream, fields: &Value) {
+        let mut entry = json!({ "slots": 256, "born": self.born[&engine.id] });
         for (name, value) in fields.as_object().into_iter().flatten() {
             entry[name] = value.clone();
         }
-        self.site.register_with(engine, ENGINES, &entry);
+        self.site.register_with(engine, service, &entry);
     }
 
-    /// Ends an engine and starts another one at its address, which isn't registered.
+    /// Starts an engine at the address of another one, which is ended. It isn't registered.
     async fn replace(&mut self, index: usize, id: &str, version: &str) {
         self.engines[index].kill();
         let address = self.engines[index].address;
-        let engine = Upstream::bind(address, id, version, &self.site.record).await;
-        self.engines[index] = engine.expect("the address is free");
+        self.engines[index] = self.bind(address, id, version).await;
     }
 
     /// Lets two engines of each version leave, so that the streams that they began go on elsewhere. Two of
--- a/crates/router/tests/suite/gateway_versions/restarts.rs
+++ b/crates/router/tests/suite/gateway_versions/restarts.rs
@@ -1,6 +1,6 @@
 //! Upstreams that are replaced at their addresses, and a store that comes back from an older copy.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use fescue_site::resuming::Stream;
 use serde_json::json;
@@ -12,15 +12,12 @@
 /// The number of streams of a test.
 const STREAMS: usize = 16;
 
+/// The time for which nothing listens on the address of an upstream that starts anew.
+const DOWN_TIME: Duration = Duration::from_secs(1);
+
 /// The time after which an upstream that started anew under its id is listed again.
 const LISTED_AFTER: Duration = Duration::from_millis(1500);
 
-/// Returns the time of now, as an entry names the start of its process.
-fn born() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.expect("after 1970").as_millis() as u64
-}
-
 /// Replaces an engine at its address and lists the new one, under the same id or another one.
 async fn release(fleet: &mut Fleet, index: usize, id: &str, version: &str) {
     let old = fleet.engines[index].id.clone();
@@ -28,7 +25,7 @@
     if old != id {
         fleet.site.store.store.remove("servers", &old);
     }
-    fleet.register(&fleet.engines[index], &json!({ "born": born() }));
+    fleet.register(&fleet.engines[index], &json!({}));
     tokio::time::sleep(PROPAGATION).await;
 }
 
@@ -64,6 +61,10 @@
     let mut fleet = Fleet::open("unlisted", 1, &[("e-0", "v1"), ("e-1", "v1")]).await;
     let mut running = fleet.start(&[0], 3 * STREAMS, 150);
     tokio::time::sleep(Duration::from_millis(500)).await;
+    for engine in &fleet.engines {
+        engine.kill();
+    }
+    tokio::time::sleep(DOWN_TIME).await;
     for (index, id) in [(0, "e-0"), (1, "e-1")] {
         fleet.replace(index, id, "v2").await;
     }
@@ -82,7 +83,7 @@
     })
     .await;
     tokio::time::sleep(LISTED_AFTER).await;
-    fleet.register(&fleet.engines[0], &json!({ "born": born() }));
+    fleet.register(&fleet.engines[0], &json!({}));
     fleet.site.store.store.remove("servers", "e-1");
     fleet.add("e-3", "v1").await;
     tokio::time::sleep(PROPAGATION).await;
--- a/crates/router/tests/suite/gateway_versions/services.rs
+++ b/crates/router/tests/suite/gateway_versions/services.rs
@@ -48,8 +48,7 @@
         }
     };
     for engine in &fleet.engines {
-        let fields = json!({ "slots": 256, "version": "v1" });
-        fleet.site.register_with(engine, service(engine), &fields);
+        fleet.register_at(service(engine), engine, &json!({ "version": "v1" }));
     }
     let teams = [fleet.site.team.clone()];
     fleet.publish(&teams, |wire| lead(wire, 70, 30));
