gateway: test a restarted upstream that only another router saw end

An upstream may start again under its id with another version, and be listed later. The router whose streams broke knows that the entry is of a process that has ended; a router that had nothing there does not, and takes the streams up at the new process. The test ends two upstreams for one second, starts the other version under their ids, and resumes the streams at the second router before the new entries are listed.

The restart that the tests of one router use is now a function of its own.

--- a/crates/router/tests/suite/gateway_versions/restarts.rs
+++ b/crates/router/tests/suite/gateway_versions/restarts.rs
@@ -12,6 +12,9 @@
 /// The number of streams of a test.
 const STREAMS: usize = 16;
 
+/// The number of events of a stream that runs while its upstream ends, about 1.3 s.
+const LONG: u64 = 150;
+
 /// The time for which nothing listens on the address of an upstream that starts anew.
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
@@ -54,13 +57,8 @@
     }
 }
 
-/// Guards against a version that is read from an entry whose process has ended: another version runs under the
-/// same ids before it is listed.
-#[tokio::test(flavor = "multi_thread")]
-async fn gateway_joins_nothing_before_a_restart_is_listed() {
-    let mut fleet = Fleet::open("unlisted", 1, &[("e-0", "v1"), ("e-1", "v1")]).await;
-    let mut running = fleet.start(&[0], 3 * STREAMS, 150);
-    tokio::time::sleep(Duration::from_millis(500)).await;
+/// Ends both engines with all their streams and starts the other version under their ids, which isn't listed.
+async fn restart_all(fleet: &mut Fleet) {
     for engine in &fleet.engines {
         engine.kill();
     }
@@ -68,10 +66,17 @@
     for (index, id) in [(0, "e-0"), (1, "e-1")] {
         fleet.replace(index, id, "v2").await;
     }
-    let mut streams = Vec::new();
-    while let Some(stream) = running.join_next().await {
-        streams.push(stream.expect("a caller"));
-    }
+}
+
+/// Guards against a version that is read from an entry whose process has ended: another version runs under the
+/// same ids before it is listed.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_joins_nothing_before_a_restart_is_listed() {
+    let mut fleet = Fleet::open("unlisted", 1, &[("e-0", "v1"), ("e-1", "v1")]).await;
+    let running = fleet.start(&[0], 3 * STREAMS, LONG);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    restart_all(&mut fleet).await;
+    let streams = running.join_all().await;
     let streams = fleet.resume(streams, &[0], 4).await;
     // These begin at the new processes, which the list still calls the old ones.
     let address = fleet.callers(0);
@@ -92,6 +97,19 @@
     assert_none_joined(&streams);
 }
 
+/// Guards against a restart that only the router knows whose streams it broke: they are resumed at another one,
+/// which had nothing at the upstream, before the new process is listed.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_joins_nothing_after_a_restart_another_router_saw() {
+    let mut fleet = Fleet::open("unseen", 2, &[("e-0", "v1"), ("e-1", "v1")]).await;
+    let running = fleet.start(&[0], 2 * STREAMS, LONG);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    restart_all(&mut fleet).await;
+    let streams = running.join_all().await;
+    let streams = fleet.resume(streams, &[1], 4).await;
+    assert_none_joined(&streams);
+}
+
 /// Checks the streams that are complete, and returns the others.
 fn unfinished(streams: Vec<Stream>) -> Vec<Stream> {
     let (complete, others): (Vec<_>, Vec<_>) = streams.into_iter().partition(Stream::is_complete);
