gateway: test that a version may be any text

The platform's pages say of an entry's `version` only that it is the version of the upstream's software. One with a space or with letters beyond ASCII can be read and compared; were it taken for none, no stream of that upstream would ever go on.

--- a/crates/router/tests/suite/gateway_versions/entries.rs
+++ b/crates/router/tests/suite/gateway_versions/entries.rs
@@ -3,7 +3,9 @@
 use fescue_site::resuming::{Ending, Stream};
 use serde_json::{Value, json};
 
-use super::{EVENTS, Fleet, MAX_ATTEMPTS, PROPAGATION, assert_none_joined, assert_refused};
+use super::{
+    EVENTS, Fleet, MAX_ATTEMPTS, PROPAGATION, assert_continued, assert_none_joined, assert_refused,
+};
 
 /// The number of streams for each kind of entry.
 const STREAMS: usize = 8;
@@ -68,3 +70,19 @@
         );
     }
 }
+
+/// Guards against versions that are texts but count as unreadable, so that no stream of theirs goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_resumes_streams_of_any_text_version() {
+    let mut fleet = Fleet::open("texts", 1, &[("a-0", "one"), ("b-0", "one")]).await;
+    for version in ["2.1 (build 7)", "v1-\u{fc}", "1.0+git.abc/def"] {
+        for engine in &fleet.engines {
+            fleet.register(engine, &json!({ "version": version }));
+        }
+        tokio::time::sleep(PROPAGATION).await;
+        let streams = fleet.begin(0, 2 * STREAMS).await;
+        let streams = fleet.resume(streams, &[0], MAX_ATTEMPTS).await;
+        println!("version {version}");
+        assert_continued(&streams);
+    }
+}
