--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod gateway_silences;
 mod gateway_site;
 mod gateway_stops;
+mod gateway_versions;
 mod load_reports;
 mod money_deaths;
 mod money_figures;
