--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use fescue_core::outcome::Reason;
 use fescue_core::rules::Service;
-use fescue_core::{Execution, Refusal, RequestId, ServiceId, Tokens, hash};
+use fescue_core::{Execution, Refusal, RequestId, ServiceId, Tokens, UpstreamId, hash};
 use fescue_policy::ledger::Reservation;
 use fescue_policy::retry::{self, Failure};
 use fescue_store::claims::{Answer, ClaimOutcome, ClaimRow};
@@ -230,10 +230,14 @@
         self.front.retries.lock().earn();
         let mut failed = Vec::new();
         let mut attempt = 1;
+        let mut waited = Duration::ZERO;
         // The last failure that doesn't prove that the call didn't run.
         let mut may_have_run = None;
         loop {
-            let mut permit = match self.place(&failed).await {
+            let start = self.front.board.now();
+            let placed = self.place(&failed, waited).await;
+            waited += self.front.board.now().saturating_sub(start);
+            let mut permit = match placed {
                 Ok(permit) => permit,
                 Err(refusal) => {
                     return may_have_run.map_or(Outcome::NotRun(refusal), Outcome::Unknown);
@@ -267,13 +271,13 @@
             if again && self.front.retries.lock().spend() {
                 continue;
             }
-            let message = "no upstream took the call";
-            let not_run = Outcome::NotRun(Refusal::not_run(Reason::NoUpstream, message));
+            let not_run = Outcome::NotRun(answer::not_taken("no upstream took the call"));
             return may_have_run.map_or(not_run, Outcome::Unknown);
         }
     }
 
-    async fn place(&self, failed: &[fescue_core::UpstreamId]) -> Result<Permit, Refusal> {
+    /// Waits for an upstream, after `waited` before earlier attempts.
+    async fn place(&self, failed: &[UpstreamId], waited: Duration) -> Result<Permit, Refusal> {
         let job = Job {
             request: self.caller.request.clone(),
             team: self.caller.team.name.clone(),
@@ -285,6 +289,7 @@
             failed: failed.to_vec(),
             isolate: None,
             max_wait: Some(self.rule.timeout),
+            waited,
         };
         let pool = Pool::Service(self.rule.name.clone());
         let board = &self.front.board;
@@ -308,8 +313,7 @@
         };
         let deadline = tokio::time::Instant::now() + self.rule.timeout;
         let reply = self.front.client.call(&call).await?;
-        self.front
-            .record_limit(&permit.upstream.name, reply.headers());
+        self.front.record_limit(permit.handle(), reply.headers());
         let status = reply.status().as_u16();
         let kind = reply.headers().get(header::CONTENT_TYPE);
         let kind = kind.and_then(|k| k.to_str().ok()).unwrap_or_default();
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use fescue_core::rules::{RuleSet, Upstream};
-use fescue_core::{DataCentreId, UpstreamId, hash, record};
+use fescue_core::{DataCentreId, UpstreamId, hash};
 use fescue_policy::limit::{Breaker, Limit, Occupancy};
 use fescue_policy::placement::Candidate;
 use fescue_policy::rate_limit::{Bucket, RequestRate, Statement};
 use indexmap::{IndexMap, IndexSet};
 
+use super::{Handle, Snapshot};
+
 /// The incarnation of an upstream that has given no report.
 const UNKNOWN_INCARNATION: u64 = 0;
 
@@ -28,6 +30,10 @@
 /// The assumed prefill time of one token that is not cached.
 const PREFILL_PER_TOKEN: Duration = Duration::from_micros(50);
 
+/// The time without a report after which an upstream isn't expected back soon. A sound one may be silent for
+/// a second.
+const LOST_TIME: Duration = Duration::from_secs(2);
+
 /// The assumed network round trip to an upstream in another data centre.
 const ROUND_TRIP: Duration = Duration::from_millis(3);
 
@@ -35,6 +41,7 @@
 #[derive(Debug)]
 pub struct State {
     rule: Arc<Upstream>,
+    generation: u64,
     ring_id: u64,
     incarnation: u64,
     in_flight: u32,
@@ -52,31 +59,23 @@
     share: Bucket,
 }
 
-record! {
-    /// The state of one upstream in the operators' API.
-    pub struct Snapshot {
-        /// The upstream's name in the rules.
-        pub name: UpstreamId,
-        /// The data centre that the upstream is in.
-        pub data_centre: DataCentreId,
-        /// The number of this router's requests that are running there.
-        pub own: u32,
-        /// The estimated number of requests of all routers there.
-        pub estimate: u32,
-        /// The number of concurrent requests that the limit allows now.
-        pub slots: u32,
-        /// Whether it gets no new work because it is shutting down.
-        pub leaving: bool,
-        /// Whether it gets no new work because it is down or its circuit breaker is open.
-        pub tripped: bool,
+/// Returns the incarnation of an upstream before any report.
+///
+/// One that only serves plain services is never polled. Its address stands for its incarnation, so that peers
+/// don't take it for another one under the same name.
+fn first_incarnation(rule: &Upstream) -> u64 {
+    match rule.models.is_empty() {
+        true => hash::digest64(rule.address.to_string().as_bytes()),
+        false => UNKNOWN_INCARNATION,
     }
 }
 
 impl State {
-    fn open(rule: Arc<Upstream>) -> Self {
+    fn open(rule: Arc<Upstream>, generation: u64) -> Self {
         Self {
+            generation,
             ring_id: hash::digest64(rule.name.as_str().as_bytes()),
-            incarnation: UNKNOWN_INCARNATION,
+            incarnation: first_incarnation(&rule),
             in_flight: 0,
             limit: Limit::open(rule.slots, 1),
             breaker: Breaker::default(),
@@ -101,6 +100,12 @@
         &self.rule
     }
 
+    /// Returns a handle by which requests and reports are recorded.
+    pub fn handle(&self) -> Handle {
+        let (rule, generation) = (Arc::clone(&self.rule), self.generation);
+        Handle { rule, generation }
+    }
+
     /// Returns the estimated cost of sending the upstream a request from data centre `local`, with a
     /// prompt of `tokens` tokens whose prefix hashes to `prefix`.
     pub fn candidate(
@@ -154,6 +159,12 @@
         !self.leaving && self.down_since.is_none()
     }
 
+    /// Returns whether it isn't worth waiting for the upstream: it is leaving, or has been down for long.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        let down = self.down_since.map(|since| now.saturating_sub(since));
+        self.leaving || down.is_some_and(|down| down >= LOST_TIME)
+    }
+
     /// Returns whether the upstream's load is below `ceiling` percent of its slots, the part that bulk
     /// work may use.
     pub fn is_open_to_bulk(&self, ceiling: u64) -> bool {
@@ -203,6 +214,8 @@
     /// stale report from another source doesn't reopen them.
     leaving: IndexSet<(UpstreamId, u64)>,
     routers: u32,
+    /// The number of states created so far.
+    generations: u64,
 }
 
 impl Upstreams {
@@ -217,7 +230,9 @@
                 .is_none_or(|s| s.rule.address != rule.address);
             let rule = Arc::new(rule.clone());
             if moved {
-                self.states.insert(name.clone(), State::open(rule));
+                self.generations += 1;
+                let state = State::open(rule, self.generations);
+                self.states.insert(name.clone(), state);
             } else if let Some(state) = known {
                 state.rule = rule;
             }
@@ -238,6 +253,12 @@
         self.states.get(name)
     }
 
+    /// Returns the state that a handle was made from, or `None` if the rules have removed or replaced it.
+    fn current(&mut self, handle: &Handle) -> Option<&mut State> {
+        let state = self.states.get_mut(&handle.rule.name)?;
+        (state.generation == handle.generation).then_some(state)
+    }
+
     /// Returns the index of an upstream for [`Self::at`], valid until the rules change.
     pub fn index_of(&self, name: &UpstreamId) -> Option<usize> {
         self.states.get_index_of(name)
@@ -262,12 +283,18 @@
     }
 
     /// Records that a request is sent to an upstream; `prefix` is the hash of its prompt's prefix.
-    pub fn record_start(&mut self, name: &UpstreamId, prefix: u64, now: Duration) {
-        if let Some(state) = self.states.get_mut(name) {
+    pub fn record_start(&mut self, handle: &Handle, prefix: u64, now: Duration) {
+        if let Some(state) = self.current(handle) {
             state.record_start(prefix, now);
         }
     }
 
+    /// Records what an answer of an upstream said of its limit; returns whether the limit has changed.
+    pub fn record_answer(&mut self, handle: &Handle, statement: Statement) -> bool {
+        let current = self.current(handle).is_some();
+        current && self.record_statement(&handle.rule.name, None, statement)
+    }
+
     /// Records what an answer of an upstream's incarnation said of its limit, unless a later answer is known;
     /// returns whether the limit has changed. `None` stands for the current incarnation.
     pub fn record_statement(
@@ -306,12 +333,12 @@
     /// Records that a request ended; `success` is `None` if that tells nothing of the upstream.
     pub fn record_end(
         &mut self,
-        name: &UpstreamId,
+        handle: &Handle,
         now: Duration,
         took: Duration,
         success: Option<bool>,
     ) {
-        if let Some(state) = self.states.get_mut(name) {
+        if let Some(state) = self.current(handle) {
             state.record_end(now, took, success);
         }
     }
@@ -319,11 +346,15 @@
     /// Records an upstream's own load report.
     pub fn record_report(
         &mut self,
-        name: &UpstreamId,
+        handle: &Handle,
         incarnation: u64,
         requests: u32,
         leaving: bool,
     ) {
+        if self.current(handle).is_none() {
+            return;
+        }
+        let name = &handle.rule.name;
         if leaving {
             self.mark_leaving(name, incarnation);
         }
@@ -346,9 +377,9 @@
 
     /// Records that an upstream gave no report, and returns the time since when it gives none.
     ///
-    /// Returns `None` if the upstream is not in the rules.
-    pub fn record_missed_report(&mut self, name: &UpstreamId, now: Duration) -> Option<Duration> {
-        let state = self.states.get_mut(name)?;
+    /// Returns `None` if the upstream is not in the rules any more.
+    pub fn record_missed_report(&mut self, handle: &Handle, now: Duration) -> Option<Duration> {
+        let state = self.current(handle)?;
         let since = *state.down_since.get_or_insert(now);
         Some(since)
     }
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fescue_core::outcome::Reason;
 use fescue_core::rules::RuleSet;
 use fescue_core::settings::Settings;
-use fescue_core::{Incarnation, Priority, Refusal, Tokens, Weight, hash};
+use fescue_core::{Execution, Incarnation, Priority, Refusal, Tokens, Weight, hash};
 use fescue_router::blackboard::Board;
 use fescue_router::dispatch::{self, Job, Permit, Pool};
+use fescue_router::upstream::{State, Upstreams};
 use tokio::time::Instant;
 
 /// The target of the standard priority.
@@ -92,6 +94,7 @@
         failed: Vec::new(),
         isolate: None,
         max_wait: None,
+        waited: Duration::ZERO,
     }
 }
 
@@ -163,3 +166,182 @@
         permit.record_outcome(true);
     }
 }
+
+/// Fills the only upstream and returns what a request that waits for it gets, and after what time;
+/// `change` is called once it waits.
+async fn waiting(
+    job: Job,
+    change: impl FnOnce(&Dispatcher),
+) -> (Result<Permit, Refusal>, Duration) {
+    let dispatcher = Arc::new(Dispatcher::spawn(&[upstream("a", 1)]));
+    let _running = dispatcher.permit(self::job("r-1")).await;
+    let other = Arc::clone(&dispatcher);
+    let task = tokio::spawn(async move { other.acquire(job).await });
+    tokio::time::sleep(AT_ONCE).await;
+    change(&dispatcher);
+    task.await.expect("the task completes")
+}
+
+fn refusal(result: Result<Permit, Refusal>) -> Refusal {
+    match result {
+        Err(refusal) => refusal,
+        Ok(permit) => panic!("granted {}", permit.upstream.name),
+    }
+}
+
+/// Guards against requests that wait until their target after a change of the rules has taken the last
+/// upstream of their pool away.
+#[tokio::test(start_paused = true)]
+async fn change_that_takes_the_pool_away_refuses_what_waits() {
+    for job in [job("r-2"), isolated("r-2", 1)] {
+        let (result, waited) = waiting(job, |d| d.apply(TARGET, &[])).await;
+        let refusal = refusal(result);
+        assert_eq!(refusal.reason, Reason::NotFound);
+        assert_eq!(refusal.execution, Execution::NotRun);
+        assert!(waited <= 2 * AT_ONCE, "{waited:?}");
+    }
+}
+
+/// Guards against requests that keep the target of old rules: they are refused though the new target still
+/// holds, or wait although it has passed.
+#[tokio::test(start_paused = true)]
+async fn changed_target_applies_to_what_waits() {
+    for (target, expected) in [(2, 2), (40, 40), (0, 0)] {
+        let target = Duration::from_secs(target);
+        for job in [job("r-2"), isolated("r-2", 1)] {
+            let change = |d: &Dispatcher| d.apply(target, &[upstream("a", 1)]);
+            let (result, waited) = waiting(job, change).await;
+            assert_eq!(refusal(result).reason, Reason::Overload);
+            let over = waited.saturating_sub(Duration::from_secs(expected));
+            assert!(waited >= target && over <= 2 * AT_ONCE, "{waited:?}");
+        }
+    }
+}
+
+/// Guards against requests that wait until their target for upstreams that all leave.
+#[tokio::test(start_paused = true)]
+async fn leaving_upstreams_refuse_what_waits() {
+    for job in [job("r-2"), isolated("r-2", 1)] {
+        let leave = |d: &Dispatcher| {
+            let drained = d
+                .board
+                .upstreams
+                .lock()
+                .drain(&"a".parse().expect("a name"));
+            assert!(drained);
+        };
+        let (result, waited) = waiting(job, leave).await;
+        let refusal = refusal(result);
+        assert_eq!(refusal.reason, Reason::NoUpstream);
+        assert_eq!(refusal.execution, Execution::NotRun);
+        assert!(refusal.retry_after.is_some());
+        assert!(waited <= 2 * AT_ONCE, "{waited:?}");
+    }
+}
+
+/// Guards against requests that wait until their target for upstreams that are all down, and against a
+/// refusal because of a silence of a second.
+#[tokio::test(start_paused = true)]
+async fn upstreams_that_stay_down_refuse_what_waits() {
+    let miss = |d: &Dispatcher| {
+        let name = "a".parse().expect("a name");
+        let now = d.board.now();
+        let mut upstreams = d.board.upstreams.lock();
+        let handle = upstreams.get(&name).expect("the upstream").handle();
+        let since = upstreams.record_missed_report(&handle, now);
+        assert!(since.is_some());
+    };
+    for job in [job("r-2"), isolated("r-2", 1)] {
+        let (result, waited) = waiting(job, miss).await;
+        let refusal = refusal(result);
+        assert_eq!(refusal.reason, Reason::NoUpstream);
+        assert!(refusal.retry_after.is_some());
+        let silence = Duration::from_secs(1);
+        assert!(waited > silence && waited < 3 * silence, "{waited:?}");
+    }
+    let dispatcher = Dispatcher::spawn(&[upstream("a", 1)]);
+    miss(&dispatcher);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let (result, waited) = dispatcher.acquire(job("r-3")).await;
+    assert_eq!(refusal(result).reason, Reason::NoUpstream);
+    assert_eq!(waited, Duration::ZERO);
+}
+
+/// Guards against a request whose attempts each wait for an upstream as long as the first one may.
+#[tokio::test(start_paused = true)]
+async fn later_attempt_has_the_rest_of_the_wait() {
+    for (spent, left) in [(15, 5), (20, 0), (100, 0)] {
+        let again = Job {
+            waited: Duration::from_secs(spent),
+            ..job("r-2")
+        };
+        let (result, waited) = waiting(again.clone(), |_| ()).await;
+        assert_eq!(refusal(result).reason, Reason::Overload);
+        let over = waited.saturating_sub(Duration::from_secs(left));
+        assert!(over <= AT_ONCE, "{spent} s before: {waited:?}");
+        // An upstream that is free is still used.
+        let dispatcher = Dispatcher::spawn(&[upstream("a", 1)]);
+        dispatcher.permit(again).await;
+    }
+}
+
+/// Guards against requests of an upstream that a change of the rules has replaced under its name: their ends
+/// freed slots of the new one, and their failures opened its circuit.
+#[tokio::test(start_paused = true)]
+async fn replaced_upstream_counts_for_no_other() {
+    for slots in [1, 8] {
+        let dispatcher = Dispatcher::spawn(&[upstream("a", slots)]);
+        let mut old = Vec::new();
+        for number in 0..slots.min(4) {
+            old.push(dispatcher.permit(job(&format!("r-{number}"))).await);
+        }
+        let moved = upstream("a", slots).replace("at=127.0.0.1:9 ", "at=127.0.0.1:10 ");
+        dispatcher.apply(TARGET, &[moved]);
+        let mut new = vec![dispatcher.permit(job("s-0")).await];
+        for mut permit in old {
+            permit.record_outcome(false);
+        }
+        for number in 1..slots {
+            new.push(dispatcher.permit(job(&format!("s-{number}"))).await);
+        }
+        assert!(
+            new.iter()
+                .all(|permit| permit.upstream.address.port() == 10)
+        );
+        let (full, waited) = dispatcher.acquire(job("t")).await;
+        assert_eq!(refusal(full).reason, Reason::Overload);
+        assert!(waited >= TARGET, "{waited:?}");
+    }
+}
+
+/// Guards against a service's upstream that gets no calls for good, since another one that had its name was
+/// drained: it is never polled, so peers repeated that mark without saying which of the two is leaving.
+#[test]
+fn drained_upstream_says_nothing_of_its_replacement() {
+    let rules = |port: u16| {
+        let text = format!(
+            "service purchases price=20 repeat=never timeout=2s # asked by Awa\n\
+             upstream a at=127.0.0.1:{port} data-centre=dakar-1 services=purchases slots=8 \
+             fencing=ignores orders=unchecked # asked by Awa\n"
+        );
+        RuleSet::parse("rules", &text).expect("the rules parse")
+    };
+    let name = "a".parse().expect("a name");
+    let mut upstreams = Upstreams::default();
+    upstreams.apply_rules(&rules(9));
+    assert!(upstreams.drain(&name));
+    let mut peer = Upstreams::default();
+    peer.apply_rules(&rules(9));
+    for (port, up) in [(9, false), (10, true)] {
+        for routers in [&mut upstreams, &mut peer] {
+            routers.apply_rules(&rules(port));
+        }
+        for (name, incarnation) in upstreams.leaving() {
+            peer.mark_leaving(&name, incarnation);
+            upstreams.mark_leaving(&name, incarnation);
+        }
+        for routers in [&upstreams, &peer] {
+            assert_eq!(routers.get(&name).map(State::is_up), Some(up), "{port}");
+        }
+    }
+}
