core: a software version may be any text without control characters

Found by the tests of versions: an entry with a version such as "2.1 (build 7)" or with letters beyond ASCII counted as naming none, so its streams were never continued. gateway_resumes_streams_of_any_text_version failed with 0 of 16 streams going on.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -44,7 +44,7 @@
 
 fn is_version(text: &str) -> bool {
     let valid_length = (1..=MAX_NAME_BYTES).contains(&text.len());
-    valid_length && text.bytes().all(|b| b.is_ascii_graphic())
+    valid_length && !text.chars().any(char::is_control) && text.trim() == text
 }
 
 fn is_request_id(text: &str) -> bool {
