chat: continue the answers of a dead upstream outside the retry budget

Callers saw answers break off in the middle although sound engines served the model: when engines died, all their streams were cut at once, and each continuation took one of the ten retries that the budget saves (plus one for ten requests). The eleventh stream or so got "the answer broke off".

Cause: the budget bounds the extra load that retries put on a failing pool. A continuation is not extra load: it replaces work that the dead engine no longer does, and the engines that are left have its slots in their limits.

The first continuation of an answer is now free; further ones take from the budget as before, within the three attempts of a request. So a pool that breaks every answer off gets at most one attempt more for each, besides the budget, and the slot limits and circuit breakers act on those.

Test: 80 streams on four engines, two of which die.

--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -57,6 +57,7 @@
         sender,
         started: Some(started),
         failed: Vec::new(),
+        resumed: false,
     };
     tokio::spawn(async move {
         run.run(reservation).await;
@@ -157,6 +158,8 @@
     /// Reports to the handler that the answer starts or that the request is refused.
     started: Option<oneshot::Sender<Result<(), Refusal>>>,
     failed: Vec<UpstreamId>,
+    /// Whether the answer broke off before.
+    resumed: bool,
 }
 
 impl Run {
@@ -227,7 +230,7 @@
             if !failure.proves_not_run() {
                 may_have_run = Some(failure);
             }
-            if !again || !self.front.retries.lock().spend() {
+            if !again || !self.spend_retry(progress.delivered) {
                 let last = may_have_run.unwrap_or(failure);
                 return Err(final_refusal(last, progress.delivered));
             }
@@ -237,6 +240,15 @@
         }
     }
 
+    /// Takes another attempt from the retry budget; returns whether one was left.
+    ///
+    /// The first continuation of an answer is free: it replaces work that an upstream no longer does, and all
+    /// answers of an upstream may break off at once.
+    fn spend_retry(&mut self, delivered: u64) -> bool {
+        let free = delivered > 0 && !std::mem::replace(&mut self.resumed, true);
+        free || self.front.retries.lock().spend()
+    }
+
     /// Waits for an upstream, unless the router stops and the rest of the answer might not end
     /// before that.
     async fn place(&self, delivered: u64) -> Result<Permit, Refusal> {
--- a/crates/router/tests/suite/process_service.rs
+++ b/crates/router/tests/suite/process_service.rs
@@ -75,6 +75,30 @@
     assert!(bills.values().all(|tokens| *tokens == 2 + 30), "{bills:?}");
 }
 
+/// Guards against streams that break off, though engines could go on with them, since more were cut at
+/// once than the retry budget allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_dead_engines_go_on_together() {
+    let site = Site::start(&["dakar-1"], 4, SLOW).await;
+    let open = site.open_streams(0, 80, 60).await;
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    for (engine, _) in &site.engines[..2] {
+        engine.set_faults(EngineFaults {
+            down: true,
+            ..EngineFaults::default()
+        });
+    }
+    let mut complete = 0;
+    for (n, stream) in open.into_iter().enumerate() {
+        let answer = stream.await.expect("the caller's task completes");
+        let answer = answer.expect("an answer");
+        let expected = expected_text(&format!("lot {n}"), 60);
+        assert!(expected.starts_with(&answer.text()), "{}", answer.body);
+        complete += usize::from(answer.is_complete());
+    }
+    assert!(complete >= 76, "{complete} of 80 streams are complete");
+}
+
 #[tokio::test]
 async fn crossed_answer_is_never_passed_on() {
     let site = Site::start(&["dakar-1"], 2, QUICK).await;
