router: continue an answer only at the software version that began it

Callers of the router's own API got answers joined from two software versions of an engine, with nothing in the answer that told so: when a stream broke off the router resumed it at any engine of the model, and engines were not asked what they are.

Cause: what the rest of an answer depends on was left to placement.

An engine now names its version (SoftwareVersion) in `x-software-version` of each answer and in its load report. What counts is the head of the answer that brought the first token. A continuation goes only to engines that reported that version last, names it in `x-resume-version`, and is declined with 412 (not run) by an engine of another version. An answer that names another version or none is dropped before its first event; the engine counts as what it named until its next report, its health and the retry budget are not charged. An unknown version is never equal to another one: such an answer breaks off at once, as `ran`. So does one whose version no engine has left; before, it would have waited for the target of the priority.

Continuations wait apart from the queue and are granted before it, each when an engine of its version is open. In the common queue one that waits for a busy version would have held up all requests behind it. An engine where the answer broke off gets it back when no other of the version is left, or after 1 s; it got it back at once before, while the others' circuits were open, and broke it off again.

Why no test saw it: all stand-in engines wrote the same text. The stand-in's text now depends on its version, it can be replaced at its address while streams run, report a stale version and run what it should decline.

Tests (process_versions, new).

process_resumes: its scripted engines name a version in each answer and report, errors too, since an engine that names none isn't resumed by design. Its assertions are the same.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -42,6 +42,11 @@
     valid_start && valid_length && text.bytes().all(allowed)
 }
 
+fn is_version(text: &str) -> bool {
+    let valid_length = (1..=MAX_NAME_BYTES).contains(&text.len());
+    valid_length && text.bytes().all(|b| b.is_ascii_graphic())
+}
+
 fn is_request_id(text: &str) -> bool {
     let valid_length = (1..=MAX_REQUEST_ID_BYTES).contains(&text.len());
     valid_length && text.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
@@ -71,6 +76,10 @@
     /// The name of a plain service, reached under `/services/{name}`.
     ServiceId, "a service", is_name
 );
+text_id!(
+    /// The version of an upstream's software, which decides where its streams may be resumed.
+    SoftwareVersion, "a software version", is_version
+);
 text_id!(
     /// The id of one change of the rules or of a budget, chosen by the client so that a repeated
     /// request is applied once.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,8 +22,8 @@
 pub mod settings;
 
 pub use id::{
-    BudgetId, ChangeId, DataCentreId, Era, Incarnation, ModelId, RequestId, ServiceId, TeamId,
-    UpstreamId, VmId,
+    BudgetId, ChangeId, DataCentreId, Era, Incarnation, ModelId, RequestId, ServiceId,
+    SoftwareVersion, TeamId, UpstreamId, VmId,
 };
 pub use outcome::{Execution, Refusal};
 pub use quantity::{Priority, Tokens, Weight};
--- a/crates/ctl/src/cmd/upstream.rs
+++ b/crates/ctl/src/cmd/upstream.rs
@@ -49,6 +49,7 @@
                     "slots",
                     "leaving",
                     "tripped",
+                    "software_version",
                 ];
                 print::rows(json, &answer, "upstreams", &columns);
             }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,8 +1,10 @@
 //! Queues requests and assigns them to upstreams.
 //!
 //! Each model and each plain service has a queue of its own. A single task grants capacity, so that
-//! requests are dispatched in the order that [`fescue_policy::queue`] decides.
+//! requests are dispatched in the order that [`fescue_policy::queue`] decides. An answer that broke off
+//! goes on before them, at an upstream of the software version that began it.
 
+mod continuations;
 mod pools;
 mod queue;
 
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -6,8 +6,8 @@
 
 use fescue_core::rules::{RuleSet, Setting, Upstream};
 use fescue_core::{
-    DataCentreId, ModelId, Priority, Refusal, RequestId, ServiceId, TeamId, Tokens, UpstreamId,
-    Weight,
+    DataCentreId, ModelId, Priority, Refusal, RequestId, ServiceId, SoftwareVersion, TeamId,
+    Tokens, UpstreamId, Weight,
 };
 use fescue_policy::queue::Ticket;
 use indexmap::IndexMap;
@@ -66,6 +66,9 @@
     pub isolate: Option<u64>,
     /// A limit on the time in the queue, if it is shorter than the one of the priority.
     pub max_wait: Option<Duration>,
+    /// The software version that began the answer, if it is to go on; only upstreams that last reported it
+    /// are considered.
+    pub version: Option<SoftwareVersion>,
 }
 
 pub(super) type Sender = oneshot::Sender<Result<Permit, Refusal>>;
@@ -157,6 +160,7 @@
         };
         let mut grants = Vec::new();
         for (pool, queue) in &mut self.queues {
+            queue.refuse_hopeless(&context);
             while let Some(grant) = queue.grant_next(pool, &mut context) {
                 grants.push(grant);
             }
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -12,13 +12,19 @@
 use fescue_policy::retry;
 use rand::rngs::SmallRng;
 
+use super::continuations::Continuations;
 use super::pools::{Entry, Grant, Job, Pool};
 use crate::upstream::{State, Upstreams};
 
+/// The time after which a continuation returns to an upstream where the answer broke off, although another
+/// of its software version may open later.
+const RETURN_DELAY: Duration = Duration::from_secs(1);
+
 /// The queue of one pool, with the upstreams that requests in it can be assigned to.
 pub(super) struct PoolQueue {
     queue: Queue,
     entries: HashMap<Ticket, Entry>,
+    continuations: Continuations,
     rules: Vec<Arc<Upstream>>,
     /// The indices of the upstreams in [`Upstreams`], parallel to `rules`.
     indices: Vec<usize>,
@@ -59,6 +65,9 @@
         if self.skip_failed && job.failed.contains(&self.queue.rules[index].name) {
             return Candidate::CLOSED;
         }
+        if job.version.is_some() && state.version() != job.version.as_ref() {
+            return Candidate::CLOSED;
+        }
         state.candidate(self.local, job.prefix, job.prompt, self.now)
     }
 }
@@ -68,6 +77,7 @@
         let mut queue = Self {
             queue: Queue::default(),
             entries: HashMap::new(),
+            continuations: Continuations::default(),
             rules: Vec::new(),
             indices: Vec::new(),
             ring: Ring::default(),
@@ -103,6 +113,14 @@
             return Err(Refusal::not_run(Reason::NotFound, message));
         }
         let job = &entry.job;
+        if job.version.is_some() {
+            if !self.has_prospect(job, upstreams, entry.queued_at) {
+                return Err(version_gone());
+            }
+            let deadline = entry.queued_at + max_wait;
+            self.continuations.push(ticket, entry, deadline);
+            return Ok(());
+        }
         let ahead = self.queue.ahead(job.priority, &job.team);
         if ahead > 0 {
             let rate = upstreams.service_rate(&self.indices);
@@ -129,18 +147,52 @@
     pub(super) fn remove(&mut self, team: &TeamId, ticket: Ticket) {
         self.queue.remove(team, ticket);
         self.entries.remove(&ticket);
+        self.continuations.remove(ticket);
     }
 
     /// Removes and returns the requests whose deadline has passed.
     pub(super) fn expire(&mut self, now: Duration) -> Vec<Entry> {
         let late = self.queue.expire(now);
         let late = late.iter().map(|waiting| waiting.ticket);
-        late.filter_map(|ticket| self.entries.remove(&ticket))
-            .collect()
+        let late = late.filter_map(|ticket| self.entries.remove(&ticket));
+        late.chain(self.continuations.expire(now)).collect()
+    }
+
+    /// Refuses the continuations that no upstream of their software version can serve soon.
+    pub(super) fn refuse_hopeless(&mut self, context: &GrantContext<'_>) {
+        if self.continuations.is_empty() {
+            return;
+        }
+        let mut continuations = std::mem::take(&mut self.continuations);
+        let has_prospect = |job: &Job| self.has_prospect(job, context.upstreams, context.now);
+        for entry in continuations.extract_hopeless(has_prospect) {
+            let _dropped = entry.sender.send(Err(version_gone()));
+        }
+        self.continuations = continuations;
+    }
+
+    /// Returns whether an upstream may soon be open to a continuation.
+    fn has_prospect(&self, job: &Job, upstreams: &Upstreams, now: Duration) -> bool {
+        let version = job.version.as_ref();
+        let suits = |state: &State| version.is_some_and(|version| state.may_go_on(version, now));
+        let mut states = self.indices.iter().filter_map(|index| upstreams.at(*index));
+        states.any(suits)
+    }
+
+    /// Returns whether a continuation may return to an upstream where the answer broke off: no other has its
+    /// software version, or none was open in time.
+    fn may_return(&self, entry: &Entry, context: &GrantContext<'_>) -> bool {
+        let Some(version) = &entry.job.version else {
+            return true;
+        };
+        let is_other = |state: &State| !entry.job.failed.contains(&state.rule().name);
+        let mut states = self.indices.iter().filter_map(|i| context.upstreams.at(*i));
+        let other = states.any(|state| is_other(state) && state.may_go_on(version, context.now));
+        !other || context.now.saturating_sub(entry.queued_at) >= RETURN_DELAY
     }
 
     pub(super) fn len(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.continuations.len()
     }
 
     /// Assigns the next request to an upstream, if one is open to it.
@@ -149,6 +201,10 @@
         pool: &Pool,
         context: &mut GrantContext<'_>,
     ) -> Option<Grant> {
+        let resumed = self.grant_continuation(pool, context);
+        if resumed.is_some() {
+            return resumed;
+        }
         if self.queue.is_empty() || !self.has_capacity(context, None) {
             return None;
         }
@@ -156,19 +212,45 @@
         let bulk_allowed = !only_bulk || self.has_capacity(context, Some(context.bulk_ceiling));
         let waiting = self.queue.pop(|p| p != Priority::Bulk || bulk_allowed)?;
         let entry = self.entries.remove(&waiting.ticket)?;
-        let Some(choice) = self.choose(&entry.job, context) else {
+        let Some(choice) = self.choose(&entry, context) else {
             // An isolated request can only go to its one upstream, which is not open now.
             self.entries.insert(waiting.ticket, entry);
             self.queue.push(waiting);
             return None;
         };
+        Some(self.assign(pool, entry, &choice, context))
+    }
+
+    /// Assigns the first continuation for which an upstream of its software version is open.
+    fn grant_continuation(&mut self, pool: &Pool, context: &mut GrantContext<'_>) -> Option<Grant> {
+        for ticket in self.continuations.tickets() {
+            let entry = self.continuations.get(ticket)?;
+            let is_bulk = entry.job.priority == Priority::Bulk;
+            if is_bulk && !self.has_capacity(context, Some(context.bulk_ceiling)) {
+                continue;
+            }
+            if let Some(choice) = self.choose(entry, context) {
+                let entry = self.continuations.remove(ticket)?;
+                return Some(self.assign(pool, entry, &choice, context));
+            }
+        }
+        None
+    }
+
+    fn assign(
+        &self,
+        pool: &Pool,
+        entry: Entry,
+        choice: &Choice,
+        context: &mut GrantContext<'_>,
+    ) -> Grant {
         let upstream = Arc::clone(&self.rules[choice.best.index]);
         context
             .upstreams
             .record_start(&upstream.name, entry.job.prefix, context.now);
-        self.log(pool, &entry, &choice, context.now);
+        self.log(pool, &entry, choice, context.now);
         let sender = entry.sender;
-        Some(Grant { upstream, sender })
+        Grant { upstream, sender }
     }
 
     /// Returns whether any upstream is open, and below `bulk_ceiling` percent if that is given.
@@ -180,7 +262,9 @@
         })
     }
 
-    fn choose(&self, job: &Job, context: &mut GrantContext<'_>) -> Option<Choice> {
+    fn choose(&self, entry: &Entry, context: &mut GrantContext<'_>) -> Option<Choice> {
+        let job = &entry.job;
+        let may_return = self.may_return(entry, context);
         let mut candidates = QueueCandidates {
             queue: self,
             upstreams: context.upstreams,
@@ -193,17 +277,20 @@
             return self.isolated(fingerprint, &candidates);
         }
         let choice = placement::choose(context.rng, job.prefix, &self.ring, &candidates);
-        if choice.is_some() || !candidates.skip_failed {
+        if choice.is_some() || !candidates.skip_failed || !may_return {
             return choice;
         }
         candidates.skip_failed = false;
         placement::choose(context.rng, job.prefix, &self.ring, &candidates)
     }
 
-    /// Returns the one upstream that all routers send requests with this fingerprint to.
+    /// Returns the one upstream that all routers send requests with this fingerprint to; for continuations,
+    /// it is one for each software version.
     fn isolated(&self, fingerprint: u64, candidates: &QueueCandidates<'_>) -> Option<Choice> {
         let state = |index: usize| candidates.upstreams.at(self.indices[index]);
-        let up = (0..self.indices.len()).filter(|i| state(*i).is_some_and(State::is_up));
+        let version = candidates.job.version.as_ref();
+        let suits = |s: &State| s.is_up() && (version.is_none() || s.version() == version);
+        let up = (0..self.indices.len()).filter(|i| state(*i).is_some_and(suits));
         let member = |index: &usize| state(*index).map(State::ring_id).unwrap_or_default();
         let index = up.max_by_key(|index| hash::score(fingerprint, member(index)))?;
         let candidate = candidates.candidate(index);
@@ -236,6 +323,12 @@
     }
 }
 
+/// Returns the refusal of a continuation whose software version no upstream serves any more.
+fn version_gone() -> Refusal {
+    let message = "no upstream of the software version that began the answer is left";
+    Refusal::not_run(Reason::NoUpstream, message)
+}
+
 fn shares(book: &RuleSet) -> Shares {
     let mut shares = Shares::default();
     for (priority, rule) in &book.priorities {
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -1,5 +1,6 @@
 //! Serves chat completions: admission, placement, relay of the answer, and billing.
 
+mod continuation;
 mod response;
 
 use std::sync::Arc;
@@ -27,7 +28,7 @@
 use crate::dispatch::{self, Job, Permit, Pool};
 use crate::grace;
 use crate::metrics::Metrics;
-use crate::upstream::Call;
+use crate::upstream::{Call, is_declined, software_version};
 
 /// The maximum number of attempts at one request.
 const MAX_ATTEMPTS: u32 = 3;
@@ -190,9 +191,12 @@
         // The last failure that doesn't prove that the request didn't run.
         let mut may_have_run = None;
         loop {
-            let mut permit = match self.place(progress.delivered).await {
+            let mut permit = match self.place(progress).await {
                 Ok(permit) => permit,
-                Err(refusal) => return Err(known_refusal(refusal, may_have_run, progress)),
+                Err(refusal) => {
+                    self.log_break_off(progress, &refusal.message);
+                    return Err(known_refusal(refusal, may_have_run, progress));
+                }
             };
             let sent = self.front.board.suspects.lock().start(&self.chat.prints);
             let before = progress.delivered;
@@ -216,9 +220,13 @@
                     tracing::warn!(request = %self.caller.request, delivered, "grace period over; ending the request");
                     return Err(grace::ended(delivered));
                 }
-                Outcome::Failed(failure) => failure,
+                // It says nothing of the upstream's health.
+                Outcome::OtherVersion => Failure::Declined,
+                Outcome::Failed(failure) => {
+                    permit.record_outcome(false);
+                    failure
+                }
             };
-            permit.record_outcome(false);
             self.failed.push(permit.upstream.name.clone());
             let started = permit.started();
             drop(permit);
@@ -226,6 +234,9 @@
             self.record_crash(failure, started, &sent, begun).await;
             self.log_failure(failure, attempt, progress.delivered);
             attempt += 1;
+            if let Some(refusal) = self.unknown_version(progress) {
+                return Err(refusal);
+            }
             let again = retry::may_retry(failure, true, true) && attempt <= MAX_ATTEMPTS;
             if !failure.proves_not_run() {
                 may_have_run = Some(failure);
@@ -240,18 +251,9 @@
         }
     }
 
-    /// Takes another attempt from the retry budget; returns whether one was left.
-    ///
-    /// The first continuation of an answer is free: it replaces work that an upstream no longer does, and all
-    /// answers of an upstream may break off at once.
-    fn spend_retry(&mut self, delivered: u64) -> bool {
-        let free = delivered > 0 && !std::mem::replace(&mut self.resumed, true);
-        free || self.front.retries.lock().spend()
-    }
-
     /// Waits for an upstream, unless the router stops and the rest of the answer might not end
     /// before that.
-    async fn place(&self, delivered: u64) -> Result<Permit, Refusal> {
+    async fn place(&self, progress: &Progress) -> Result<Permit, Refusal> {
         let board = &self.front.board;
         let prints = &self.chat.prints;
         let now = board.now();
@@ -267,9 +269,10 @@
             failed: self.failed.clone(),
             isolate: (standing == Standing::Suspect).then_some(prints.request),
             max_wait: None,
+            version: progress.resume_version().cloned(),
         };
         let pool = Pool::Model(self.chat.model.clone());
-        let tokens = self.chat.max_tokens.saturating_sub(delivered);
+        let tokens = self.chat.max_tokens.saturating_sub(progress.delivered);
         let longest = board.stream_time(&self.chat.model, tokens);
         let placed = dispatch::acquire(board, &pool, job);
         board.unless_too_late(longest, placed).await
@@ -292,15 +295,22 @@
             vm: &board.me.vm,
             fence: board.fence(),
             resume: progress.delivered,
+            version: progress.resume_version(),
             body: self.chat.body.clone(),
             timeout: board.settings.limits.request_timeout,
         };
         let sent_at = Instant::now();
         let reply = tokio::select! {
-            reply = self.front.client.call(&call) => reply,
+            reply = self.front.client.send(&call) => reply,
             () = self.sender.closed() => return Outcome::Disconnected,
         };
+        if let Ok(reply) = &reply
+            && self.is_other_version(permit, reply, progress)
+        {
+            return Outcome::OtherVersion;
+        }
         let reply = match reply {
+            Ok(reply) if is_declined(&reply) => return Outcome::Failed(Failure::Declined),
             Ok(reply) if reply.status().is_success() && relay::is_stream(reply.headers()) => {
                 self.front
                     .record_limit(&permit.upstream.name, reply.headers());
@@ -312,6 +322,9 @@
             Err(failure) => return Outcome::Failed(failure),
         };
         self.report_start();
+        if progress.delivered == 0 {
+            progress.version = software_version(reply.headers());
+        }
         let deadline = sent_at + board.settings.limits.request_timeout;
         let record = |pace| board.record_pace(&self.chat.model, pace);
         let meter = PaceMeter::open(sent_at.elapsed(), record);
@@ -448,11 +461,17 @@
     }
 }
 
+/// Returns the refusal for an answer that has begun and doesn't go on.
+fn broken_off(delivered: u64) -> Refusal {
+    let message =
+        format!("the answer broke off after {delivered} tokens; a repeat is a new answer");
+    Refusal::ran(Reason::UpstreamFailed, message)
+}
+
 /// Returns the refusal for a request whose last attempt failed.
 fn final_refusal(failure: Failure, delivered: u64) -> Refusal {
     if delivered > 0 {
-        let message = format!("the answer broke off after {delivered} tokens");
-        return Refusal::ran(Reason::UpstreamFailed, message);
+        return broken_off(delivered);
     }
     match failure {
         Failure::NotSent | Failure::Declined => {
--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -2,6 +2,7 @@
 
 use axum::http::{HeaderMap, header};
 use bytes::Bytes;
+use fescue_core::SoftwareVersion;
 use fescue_policy::retry::Failure;
 use fescue_policy::stream_times::Pace;
 use serde_json::Value;
@@ -25,6 +26,9 @@
 pub(super) struct Progress {
     /// The number of tokens delivered to the caller.
     pub(super) delivered: u64,
+    /// The software version that the answer named whose first token was delivered; only upstreams of this
+    /// version may go on. `None` if it named none that can be read.
+    pub(super) version: Option<SoftwareVersion>,
     /// The usage reported by the engine at the end of the answer.
     pub(super) usage: Option<Usage>,
     /// The final events of the answer, held back until the bill is stored.
@@ -47,10 +51,24 @@
     Disconnected,
     /// The router stopped before the answer was complete.
     Stopped,
+    /// The upstream's software version isn't the one that began the answer; nothing was forwarded.
+    OtherVersion,
     /// The upstream failed or did not answer in time.
     Failed(Failure),
 }
 
+impl Progress {
+    /// Returns whether an upstream may go on with the answer, or begin it.
+    pub(super) fn may_go_on(&self) -> bool {
+        self.delivered == 0 || self.version.is_some()
+    }
+
+    /// Returns the software version at which the answer has to go on, if it has begun.
+    pub(super) fn resume_version(&self) -> Option<&SoftwareVersion> {
+        self.version.as_ref().filter(|_| self.delivered > 0)
+    }
+}
+
 /// Forwards the events of one attempt, and holds back those that end the answer.
 ///
 /// An answer of more than `max_tokens`, all attempts together, fails, since nothing is reserved for it.
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -285,6 +285,7 @@
             failed: failed.to_vec(),
             isolate: None,
             max_wait: Some(self.rule.timeout),
+            version: None,
         };
         let pool = Pool::Service(self.rule.name.clone());
         let board = &self.front.board;
@@ -303,6 +304,7 @@
             vm: &board.me.vm,
             fence: board.fence(),
             resume: 0,
+            version: None,
             body: self.body.clone(),
             timeout: self.rule.timeout,
         };
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -6,7 +6,7 @@
 mod load;
 mod state;
 
-pub use call::{Call, Client, Reply, collect, named_limit};
+pub use call::{Call, Client, Reply, collect, is_declined, named_limit, software_version};
 pub use events::Events;
 pub use load::LoadPoller;
 pub use state::{Snapshot, State, Upstreams};
--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fescue_core::{Priority, RequestId, VmId};
+use fescue_core::{Priority, RequestId, SoftwareVersion, VmId};
 use fescue_gateway::adapter;
 use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::retry::Failure;
@@ -35,6 +35,12 @@
 /// The header in which an upstream names the requests per second that it takes from all routers.
 const LIMIT_HEADER: &str = "x-request-limit";
 
+/// The header in which an upstream names its software version.
+const VERSION_HEADER: &str = "x-software-version";
+
+/// The header that names the software version at which an answer must go on.
+const RESUME_VERSION_HEADER: &str = "x-resume-version";
+
 /// The header that names the request, which upstreams echo in their answers.
 const REQUEST_HEADER: &str = "x-request-id";
 
@@ -73,6 +79,8 @@
     pub fence: u64,
     /// The number of tokens already delivered to the caller, after which the answer resumes.
     pub resume: u64,
+    /// The software version that began the answer, if it resumes.
+    pub version: Option<&'a SoftwareVersion>,
     /// The request body, in JSON.
     pub body: Bytes,
     /// The time limit for receiving the answer's headers.
@@ -98,6 +106,20 @@
     ///
     /// Returns the failure, which tells whether the upstream may have run the request.
     pub async fn call(&self, call: &Call<'_>) -> Result<Reply, Failure> {
+        let reply = self.send(call).await?;
+        if is_declined(&reply) {
+            return Err(Failure::Declined);
+        }
+        Ok(reply)
+    }
+
+    /// Makes one attempt as [`Self::call`] does, but returns the answer also if it declines the request, which
+    /// [`is_declined`] tells.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure, which tells whether the upstream may have run the request.
+    pub async fn send(&self, call: &Call<'_>) -> Result<Reply, Failure> {
         let mut request = build(call).ok_or(Failure::NotSent)?;
         let interim = InterimLimit::watch(&mut request);
         let sent = tokio::time::timeout(call.timeout, self.http.request(request));
@@ -112,15 +134,12 @@
             Ok(Ok(reply)) => reply,
         };
         let first = count_answer(reply.extensions());
-        let declined = DECLINED.contains(&reply.status());
+        let declined = is_declined(&reply);
         let proved = first || reply.headers().contains_key(REQUEST_HEADER);
         if !matches_attempt(reply.headers(), call) || (declined && !proved) {
             tracing::error!(request = %call.request, upstream = %call.address, status = reply.status().as_u16(), "answer can't be proved to belong to the attempt; treated as lost");
             return Err(Failure::Broke);
         }
-        if declined {
-            return Err(Failure::Declined);
-        }
         Ok(reply)
     }
 
@@ -186,9 +205,29 @@
         .header("x-vm", call.vm.as_str())
         .header("x-fence", call.fence)
         .header("x-resume-from", call.resume);
+    let request = match call.version {
+        Some(version) => request.header(RESUME_VERSION_HEADER, version.as_str()),
+        None => request,
+    };
     request.body(Full::new(call.body.clone())).ok()
 }
 
+/// Returns whether an answer proves that the upstream didn't run the request.
+pub fn is_declined(reply: &Reply) -> bool {
+    DECLINED.contains(&reply.status())
+}
+
+/// Returns the software version that an answer names; `None` if it names none, several, or one that can't be
+/// read.
+pub fn software_version(headers: &HeaderMap) -> Option<SoftwareVersion> {
+    let mut named = headers.get_all(VERSION_HEADER).iter();
+    let version = named.next()?;
+    if named.next().is_some() {
+        return None;
+    }
+    version.to_str().ok()?.parse().ok()
+}
+
 /// Returns the rate of requests that the upstream takes from all routers together; `None` if its answer
 /// names none.
 pub fn named_limit(headers: &HeaderMap) -> Option<RequestRate> {
--- a/crates/router/src/upstream/load.rs
+++ b/crates/router/src/upstream/load.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::UpstreamId;
+use fescue_core::{SoftwareVersion, UpstreamId};
 use futures_util::future::join_all;
 use serde::Deserialize;
+use serde_json::Value;
 
 use super::Client;
 use crate::blackboard::Board;
@@ -20,6 +21,15 @@
     running: u32,
     waiting: u32,
     leaving: bool,
+    #[serde(default)]
+    software_version: Value,
+}
+
+impl Report {
+    /// Returns the software version that the engine names, unless it can't be read.
+    fn version(&self) -> Option<SoftwareVersion> {
+        self.software_version.as_str()?.parse().ok()
+    }
 }
 
 /// The controller that polls engines for their load and stores it on the board.
@@ -66,6 +76,7 @@
             Some(report) => {
                 let requests = report.running.saturating_add(report.waiting);
                 upstreams.record_report(name, report.incarnation, requests, report.leaving);
+                upstreams.record_version(name, report.version());
             }
             None => drop(upstreams.record_missed_report(name, self.board.now())),
         }
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -1,10 +1,12 @@
 //! The state of each upstream as this router knows it.
 
+mod version;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use fescue_core::rules::{RuleSet, Upstream};
-use fescue_core::{DataCentreId, UpstreamId, hash, record};
+use fescue_core::{DataCentreId, SoftwareVersion, UpstreamId, hash, record};
 use fescue_policy::limit::{Breaker, Limit, Occupancy};
 use fescue_policy::placement::Candidate;
 use fescue_policy::rate_limit::{Bucket, RequestRate, Statement};
@@ -37,6 +39,7 @@
     rule: Arc<Upstream>,
     ring_id: u64,
     incarnation: u64,
+    version: Option<SoftwareVersion>,
     in_flight: u32,
     limit: Limit,
     breaker: Breaker,
@@ -69,6 +72,8 @@
         pub leaving: bool,
         /// Whether it gets no new work because it is down or its circuit breaker is open.
         pub tripped: bool,
+        /// The software version that it named last.
+        pub software_version: Option<SoftwareVersion>,
     }
 }
 
@@ -77,6 +82,7 @@
         Self {
             ring_id: hash::digest64(rule.name.as_str().as_bytes()),
             incarnation: UNKNOWN_INCARNATION,
+            version: None,
             in_flight: 0,
             limit: Limit::open(rule.slots, 1),
             breaker: Breaker::default(),
@@ -392,6 +398,7 @@
             slots: state.limit.slots(),
             leaving: state.leaving,
             tripped: state.down_since.is_some() || !state.breaker.allows(now),
+            software_version: state.version.clone(),
         };
         self.states.values().map(snapshot).collect()
     }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -31,6 +31,7 @@
 mod process_resumes;
 mod process_service;
 mod process_stops;
+mod process_versions;
 mod restored;
 mod rules_in_force;
 mod shutdown_steps;
--- a/crates/router/tests/suite/process_resumes.rs
+++ b/crates/router/tests/suite/process_resumes.rs
@@ -10,17 +10,20 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
-use crate::process_floods::LOAD;
 use crate::site::{QUICK, Site, chat};
 
 /// The text that each error holds.
 const ERROR: &str = "ERROR-TEXT";
 
+/// A load report of an idle engine that names the version in its answers.
+const REPORT: &str =
+    r#"{"incarnation":1,"running":0,"waiting":0,"leaving":false,"software_version":"1"}"#;
+
 const STREAM: &str = "content-type: text/event-stream\r\nconnection: close\r\n";
 
 fn head(request: &RequestHead, status: &str, fields: &str) -> String {
     let id = &request.id;
-    format!("HTTP/1.1 {status}\r\nx-request-id: {id}\r\n{fields}\r\n")
+    format!("HTTP/1.1 {status}\r\nx-request-id: {id}\r\nx-software-version: 1\r\n{fields}\r\n")
 }
 
 fn events(numbers: std::ops::RangeInclusive<u32>) -> String {
@@ -84,7 +87,7 @@
             let request = &heads[heads.len() - 1];
             if request.line.contains("/v1/load") {
                 return vec![
-                    Step::Send(head(request, "200 OK", STREAM) + LOAD),
+                    Step::Send(head(request, "200 OK", STREAM) + REPORT),
                     Step::Close,
                 ];
             }
--- a/crates/router/tests/suite/site.rs
+++ b/crates/router/tests/suite/site.rs
@@ -334,7 +334,12 @@
 
 /// Returns the text that an engine generates for a prompt up to `max_tokens`.
 pub fn expected_text(prompt: &str, max_tokens: u64) -> String {
+    text_of_version(engine::DEFAULT_VERSION, prompt, max_tokens)
+}
+
+/// Returns the text that an engine of a software version generates for a prompt up to `max_tokens`.
+pub fn text_of_version(version: &str, prompt: &str, max_tokens: u64) -> String {
     (0..max_tokens)
-        .map(|position| engine::completion_token(prompt.as_bytes(), position))
+        .map(|position| engine::completion_token(prompt.as_bytes(), version, position))
         .collect()
 }
--- a/crates/standin/examples/engine.rs
+++ b/crates/standin/examples/engine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use argh::FromArgs;
-use fescue_standin::engine::{Engine, Profile, router};
+use fescue_standin::engine::{DEFAULT_VERSION, Engine, Profile, router};
 use fescue_standin::server::Server;
 
 /// Serves a simulated model engine, for tests and load runs.
@@ -28,6 +28,9 @@
     /// refuse requests with a stale fencing number
     #[argh(switch)]
     fencing: bool,
+    /// software version that the engine names; its text depends on it
+    #[argh(option, default = "DEFAULT_VERSION.to_owned()")]
+    software_version: String,
 }
 
 #[tokio::main]
@@ -41,6 +44,7 @@
         fencing: args.fencing,
     };
     let engine = Arc::new(Engine::open(profile));
+    engine.replace(&args.software_version);
     let server = Server::spawn(args.listen, router(engine)).await?;
     println!("engine stand-in listening on {}", server.address);
     server.wait().await;
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use fescue_core::{Priority, hash, record};
+use fescue_core::{Priority, SoftwareVersion, hash, record};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -41,10 +41,14 @@
         pub cut_after: u64,
         /// Limit that answers name, in requests a second; empty for none.
         pub limit: String,
+        /// Software version that the load report names instead of the engine's own; empty for its own.
+        pub reported_version: String,
+        /// Whether a continuation is run whatever software version it asks for.
+        pub unchecked_version: bool,
     }
 
     /// The load report that an engine serves at `/v1/load`.
-    #[derive(Copy, Default)]
+    #[derive(Default)]
     pub struct Load {
         /// Random number that tells one start of the engine from the next.
         pub incarnation: u64,
@@ -64,9 +68,14 @@
         pub misses: u64,
         /// Crashes caused by the prompt of a request.
         pub crashes: u64,
+        /// Software version; empty for none.
+        pub software_version: String,
     }
 }
 
+/// The software version of an engine that was given no other.
+pub const DEFAULT_VERSION: &str = "1";
+
 /// Length of the prompt text in one block of the prefix cache.
 const BLOCK_BYTES: usize = 64;
 
@@ -108,6 +117,7 @@
             faults: EngineFaults::default(),
             load: Load {
                 incarnation: rand::random(),
+                software_version: DEFAULT_VERSION.to_owned(),
                 ..Load::default()
             },
         };
@@ -134,14 +144,42 @@
     /// Returns the current load report.
     pub fn load(&self) -> Load {
         let state = self.state.lock();
+        let reported = Some(&state.faults.reported_version).filter(|version| !version.is_empty());
         Load {
             running: state.running,
             waiting: state.waiting.len(),
             leaving: state.faults.leaving,
-            ..state.load
+            software_version: reported.unwrap_or(&state.load.software_version).clone(),
+            ..state.load.clone()
         }
     }
 
+    /// Returns the text that the engine names as its software version; it need not be a valid one.
+    pub fn version(&self) -> String {
+        self.state.lock().load.software_version.clone()
+    }
+
+    /// Returns the number that tells one start of the engine from the next.
+    pub fn incarnation(&self) -> u64 {
+        self.state.lock().load.incarnation
+    }
+
+    /// Simulates a replacement of the process by one of another software version at the same address:
+    /// running streams break off, and the cache is empty.
+    pub fn replace(&self, version: &str) {
+        let mut state = self.state.lock();
+        state.load.incarnation = rand::random();
+        version.clone_into(&mut state.load.software_version);
+        state.cache.clear();
+    }
+
+    /// Returns whether a continuation that asks for `version` may run here.
+    pub fn check_version(&self, version: Option<&SoftwareVersion>) -> bool {
+        let state = self.state.lock();
+        let own = state.load.software_version.as_str();
+        state.faults.unchecked_version || version.is_none_or(|version| version.as_str() == own)
+    }
+
     /// Records the fencing number of a request from `vm`; returns whether the request may run.
     ///
     /// Without [`Profile::fencing`], every number is accepted.
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -5,11 +5,11 @@
 
 use axum::body::{Body, Bytes};
 use axum::extract::State;
-use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
-use fescue_core::Priority;
+use fescue_core::{Priority, SoftwareVersion};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use tokio_stream::StreamExt;
@@ -20,6 +20,9 @@
 /// A prompt that contains this text crashes the engine.
 const CRASH_TEXT: &str = "crash-the-engine";
 
+/// The header in which the engine names its software version.
+const VERSION_HEADER: &str = "x-software-version";
+
 /// Returns the engine's routes, with `/control/faults` to set its faults.
 pub fn router(engine: Arc<Engine>) -> Router {
     Router::new()
@@ -35,6 +38,8 @@
     max_tokens: u64,
     /// Index of the first token to send, for a resumed stream.
     resume_from: u64,
+    /// The software version that must go on, for a resumed stream.
+    resume_version: Option<SoftwareVersion>,
     priority: Priority,
 }
 
@@ -43,6 +48,7 @@
         let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
         let priority = text("x-priority").and_then(|p| p.parse().ok());
         let resume_from = text("x-resume-from").and_then(|n| n.parse().ok());
+        let resume_version = text("x-resume-version").and_then(|v| v.parse().ok());
         let messages = body["messages"].as_array().cloned().unwrap_or_default();
         let contents = messages.iter().filter_map(|m| m["content"].as_str());
         let prompt = contents.collect::<Vec<_>>().join("\n").into_bytes();
@@ -50,6 +56,7 @@
             prompt,
             max_tokens: body["max_tokens"].as_u64().unwrap_or(16),
             resume_from: resume_from.unwrap_or(0),
+            resume_version,
             priority: priority.unwrap_or(Priority::Standard),
         }
     }
@@ -82,26 +89,28 @@
         engine.crash();
         return truncated_response();
     }
-    let (sender, receiver) = mpsc::channel(4);
-    tokio::spawn(generate(engine, completion, sender));
-    let body = Body::from_stream(ReceiverStream::new(receiver).map(Ok::<_, Infallible>));
-    let content_type = (header::CONTENT_TYPE, "text/event-stream".to_owned());
-    let own_id = text("x-request-id").to_owned();
-    let sent_id = if faults.crossed {
-        "another".to_owned()
+    let version = engine.version();
+    let mut response = if engine.check_version(completion.resume_version.as_ref()) {
+        let (sender, receiver) = mpsc::channel(4);
+        tokio::spawn(generate(engine, completion, version.clone(), sender));
+        let body = Body::from_stream(ReceiverStream::new(receiver).map(Ok::<_, Infallible>));
+        let content_type = (header::CONTENT_TYPE, "text/event-stream");
+        ([content_type], body).into_response()
     } else {
-        own_id
+        (StatusCode::PRECONDITION_FAILED, "other software version").into_response()
     };
-    let request_id = (HeaderName::from_static("x-request-id"), sent_id);
-    let attempt = (
-        HeaderName::from_static("x-attempt"),
-        text("x-attempt").to_owned(),
-    );
-    let mut response = ([content_type, request_id, attempt], body).into_response();
-    if let Ok(limit) = faults.limit.parse::<HeaderValue>()
-        && !limit.is_empty()
-    {
-        response.headers_mut().insert("x-request-limit", limit);
+    let own_id = text("x-request-id");
+    let sent_id = if faults.crossed { "another" } else { own_id };
+    let named = [
+        ("x-request-id", sent_id),
+        ("x-attempt", text("x-attempt")),
+        ("x-request-limit", &faults.limit),
+        (VERSION_HEADER, &version),
+    ];
+    for (name, value) in named.into_iter().filter(|(_, value)| !value.is_empty()) {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+            response.headers_mut().insert(name, value);
+        }
     }
     response
 }
@@ -112,7 +121,13 @@
     Body::from_stream(tokio_stream::once(error)).into_response()
 }
 
-async fn generate(engine: Arc<Engine>, completion: Completion, sender: mpsc::Sender<Bytes>) {
+async fn generate(
+    engine: Arc<Engine>,
+    completion: Completion,
+    version: String,
+    sender: mpsc::Sender<Bytes>,
+) {
+    let incarnation = engine.incarnation();
     let slot = tokio::select! {
         slot = engine.acquire_slot(completion.priority) => slot,
         () = sender.closed() => {
@@ -124,10 +139,11 @@
     for index in completion.resume_from..completion.max_tokens {
         tokio::time::sleep(engine.token_time()).await;
         let faults = engine.faults();
-        if faults.down || (faults.cut_after > 0 && index >= faults.cut_after) {
+        let replaced = engine.incarnation() != incarnation;
+        if replaced || faults.down || (faults.cut_after > 0 && index >= faults.cut_after) {
             return;
         }
-        let token = stream::completion_token(&completion.prompt, index);
+        let token = stream::completion_token(&completion.prompt, &version, index);
         let event = json!({"choices": [{"index": 0, "delta": {"content": token}}]});
         if sender.send(sse_event(&event)).await.is_err() {
             engine.count_cancelled();
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -10,11 +10,12 @@
     bytes.div_ceil(TOKEN_BYTES) as u64
 }
 
-/// Returns the text of the token at `index` in the completion of `prompt`.
+/// Returns the text of the token at `index` in the completion of `prompt` by a software version.
 ///
-/// The text is a hash of the prompt and the index, so that a test notices tokens that belong to
-/// the completion of another prompt.
-pub fn completion_token(prompt: &[u8], index: u64) -> String {
-    let digest = hash::score(hash::digest64(prompt), index);
+/// The text is a hash of the three, so that a test notices tokens that belong to the completion of
+/// another prompt or were written by another version.
+pub fn completion_token(prompt: &[u8], version: &str, index: u64) -> String {
+    let text = hash::score(hash::digest64(prompt), hash::digest64(version.as_bytes()));
+    let digest = hash::score(text, index);
     format!("w{:03x} ", digest & 0xfff)
 }
