relay: end an answer with the last event of one attempt

A caller whose stream broke off between the event that ends the text (with the usage) and `[DONE]` got that event twice: that of the attempt that broke off, and that of the attempt that went on. Where the first attempt had sent no token yet, the answer of the second one carried the end of another engine's answer, perhaps of another software version.

Cause: final events are held back until the bill is stored, and those of a failed attempt stayed in the list. They are now dropped when the next attempt is relayed. The usage stays, for billing: a later report replaces it.

Test: process_resumes::answer_has_the_last_event_of_one_attempt, with three scripted engines, failed before (left [1, 1], right [0, 1]: both ends in one answer) and passes. The engines of that file are built by a function that takes the answer to attempt N; the other two tests are the same and pass.

--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -82,6 +82,8 @@
     on_begun: impl FnOnce(),
     mut meter: PaceMeter<impl Fn(Pace)>,
 ) -> Outcome {
+    // Those of an attempt that broke off after them are not part of what this one writes.
+    progress.final_events.clear();
     let mut on_begun = Some(on_begun);
     let mut events = Events::open(reply.into_body());
     loop {
--- a/crates/router/tests/suite/process_resumes.rs
+++ b/crates/router/tests/suite/process_resumes.rs
@@ -76,13 +76,14 @@
     ]
 }
 
-/// Starts three engines. Of each request, the first attempt breaks off after two events, the second gets
-/// an error, and the third goes on, or gets the error again.
-async fn engines(error: Script, goes_on: bool) -> Vec<KeptUpstream> {
+/// Starts three engines, which answer attempt N at each request with `answer` of N.
+async fn engines(
+    answer: impl Fn(&RequestHead, u32) -> String + Clone + Send + Sync + 'static,
+) -> Vec<KeptUpstream> {
     let counts: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
     let mut engines = Vec::new();
     for _ in 0..3 {
-        let counts = Arc::clone(&counts);
+        let (counts, answer) = (Arc::clone(&counts), answer.clone());
         let engine = KeptUpstream::spawn(move |heads| {
             let request = &heads[heads.len() - 1];
             if request.line.contains("/v1/load") {
@@ -97,16 +98,8 @@
                 *count += 1;
                 *count
             };
-            let begin = |numbers| head(request, "200 OK", STREAM) + &events(numbers);
-            let usage = json!({"prompt_tokens": 1, "completion_tokens": 5});
-            let last = json!({"choices": [], "usage": usage});
-            let answer = match count {
-                1 => begin(1..=2) + "data: {\"cho",
-                3 if goes_on => begin(3..=5) + &format!("data: {last}\n\ndata: [DONE]\n\n"),
-                _ => error(request),
-            };
             vec![
-                Step::Send(answer),
+                Step::Send(answer(request, count)),
                 Step::Wait(Duration::from_millis(20)),
                 Step::Close,
             ]
@@ -116,6 +109,30 @@
     engines
 }
 
+/// Returns the event that ends an answer, with the engine's usage.
+fn last_event(reason: &str) -> String {
+    let usage = json!({"prompt_tokens": 1, "completion_tokens": 5});
+    let choice = json!({"index": 0, "delta": {}, "finish_reason": reason});
+    let last = json!({"choices": [choice], "usage": usage});
+    format!("data: {last}\n\n")
+}
+
+/// Returns an answer that begins or goes on with the events of these numbers.
+fn stream(request: &RequestHead, numbers: std::ops::RangeInclusive<u32>) -> String {
+    head(request, "200 OK", STREAM) + &events(numbers)
+}
+
+/// Starts engines of which the first attempt breaks off after two events, the second gets an error, and the
+/// third goes on, or gets the error again.
+async fn failing_engines(error: Script, goes_on: bool) -> Vec<KeptUpstream> {
+    engines(move |request, count| match count {
+        1 => stream(request, 1..=2) + "data: {\"cho",
+        3 if goes_on => stream(request, 3..=5) + &last_event("stop") + "data: [DONE]\n\n",
+        _ => error(request),
+    })
+    .await
+}
+
 /// Puts rules in force in which these engines serve the model.
 async fn apply(site: &Site, id: &str, engines: &[KeptUpstream]) {
     let rules = site.rules();
@@ -141,7 +158,7 @@
     for errors in errors().chunks(REQUESTS_PER_SITE) {
         let site = Site::start(&["dakar-1"], 1, QUICK).await;
         for (name, error) in errors {
-            let engines = engines(*error, goes_on).await;
+            let engines = failing_engines(*error, goes_on).await;
             apply(&site, name, &engines).await;
             let answer = site.ask(0, &chat(name, &format!("lot {name}"), 5)).await;
             answers.push((*name, answer));
@@ -176,3 +193,33 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against an answer that ends twice: with the last event of an attempt that broke off after it, and
+/// with that of the attempt that went on.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_has_the_last_event_of_one_attempt() {
+    let site = Site::start(&["dakar-1"], 1, QUICK).await;
+    for (name, begun, bills) in [("begun", true, 1), ("not-begun", false, 2)] {
+        let engines = engines(move |request, count| {
+            let whole = events(1..=5);
+            let (first, rest) = match begun {
+                true => (whole, String::new()),
+                false => (String::new(), whole),
+            };
+            let begin = head(request, "200 OK", STREAM);
+            match count {
+                1 => begin + &first + &last_event("first"),
+                _ => begin + &rest + &last_event("second") + "data: [DONE]\n\n",
+            }
+        });
+        let engines = engines.await;
+        apply(&site, name, &engines).await;
+        let answer = site.ask(0, &chat(name, &format!("lot {name}"), 5)).await;
+        assert!(answer.is_complete(), "{}", answer.body);
+        assert_eq!(answer.text(), "<1><2><3><4><5>");
+        let ends = ["first", "second"].map(|reason| answer.body.matches(reason).count());
+        assert_eq!(ends, [0, 1], "{name}: {}", answer.body);
+        let bills = site.wait_for_bills(bills).await;
+        assert_eq!(bills[name], 6, "{name}");
+    }
+}
