--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -5,6 +5,7 @@
 //! goes on before them, at an upstream of the software version that began it.
 
 mod continuations;
+mod isolated;
 mod pools;
 mod queue;
 
@@ -14,12 +15,13 @@
 use std::time::Duration;
 
 use fescue_core::outcome::Reason;
-use fescue_core::rules::Upstream;
+use fescue_core::rules::{RuleSet, Upstream};
 use fescue_core::{Refusal, TeamId};
 use fescue_policy::queue::Ticket;
 use tokio::sync::oneshot;
 
 use crate::blackboard::Board;
+use crate::upstream::Handle;
 
 /// The longest interval between two checks of the deadlines in the queues.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -32,21 +34,28 @@
     board: Arc<Board>,
     /// The upstream that the request was assigned to.
     pub upstream: Arc<Upstream>,
+    handle: Handle,
     started: Duration,
     success: Option<bool>,
 }
 
 impl Permit {
-    pub(crate) fn open(board: Arc<Board>, upstream: Arc<Upstream>) -> Self {
+    pub(crate) fn open(board: Arc<Board>, handle: Handle) -> Self {
         let started = board.now();
         Self {
             board,
-            upstream,
+            upstream: Arc::clone(&handle.rule),
+            handle,
             started,
             success: None,
         }
     }
 
+    /// Returns the handle by which the upstream's answers are recorded.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
     /// Returns when the request was assigned, on the board's clock.
     pub fn started(&self) -> Duration {
         self.started
@@ -65,7 +74,7 @@
         let now = self.board.now();
         let took = now.saturating_sub(self.started);
         let mut upstreams = self.board.upstreams.lock();
-        upstreams.record_end(&self.upstream.name, now, took, self.success);
+        upstreams.record_end(&self.handle, now, took, self.success);
         drop(upstreams);
         self.board.capacity.notify_one();
     }
@@ -100,13 +109,7 @@
     {
         let mut pools = board.pools.lock();
         let upstreams = board.upstreams.lock();
-        let queued_at = now;
-        let entry = pools::Entry {
-            job,
-            sender,
-            queued_at,
-        };
-        pools.push(pool, ticket, entry, &upstreams)?;
+        pools.push(pool, ticket, (job, sender), now, &upstreams)?;
     }
     let guard = QueueGuard {
         board: Arc::clone(board),
@@ -129,6 +132,17 @@
     Refusal::not_run(Reason::Overload, message).with_retry_after(RETRY_AFTER)
 }
 
+/// Applies the rules in force to the upstreams and the queues.
+pub fn apply_rules(board: &Board, book: &Arc<RuleSet>) {
+    let mut pools = board.pools.lock();
+    let mut upstreams = board.upstreams.lock();
+    upstreams.apply_rules(book);
+    pools.apply_rules(book, &upstreams);
+    drop(upstreams);
+    drop(pools);
+    board.capacity.notify_one();
+}
+
 /// Grants capacity whenever some becomes free, for as long as the router runs.
 pub async fn run(board: Arc<Board>) {
     loop {
@@ -141,12 +155,12 @@
     }
 }
 
-/// Refuses expired requests and grants the capacity that is free now.
+/// Refuses the requests that can't be served and grants the capacity that is free now.
 pub fn grant_free(board: &Arc<Board>) {
     let now = board.now();
     let mut pools = board.pools.lock();
-    pools.expire(now, target_missed);
     let mut upstreams = board.upstreams.lock();
+    pools.refuse(&upstreams, now, &target_missed());
     let grants = pools.grant(&mut upstreams, &board.me.data_centre, now);
     drop(upstreams);
     drop(pools);
--- a/crates/router/src/dispatch/continuations.rs
+++ b/crates/router/src/dispatch/continuations.rs
@@ -10,38 +10,30 @@
 
 use super::pools::{Entry, Job};
 
-/// A waiting continuation.
-struct Waiting {
-    entry: Entry,
-    deadline: Duration,
-}
-
 /// The waiting continuations of one pool, in the order of arrival.
 #[derive(Default)]
 pub(super) struct Continuations {
-    waiting: IndexMap<Ticket, Waiting>,
+    waiting: IndexMap<Ticket, Entry>,
 }
 
 impl Continuations {
-    /// Adds a continuation that waits until `deadline`.
-    pub(super) fn push(&mut self, ticket: Ticket, entry: Entry, deadline: Duration) {
-        self.waiting.insert(ticket, Waiting { entry, deadline });
+    pub(super) fn push(&mut self, ticket: Ticket, entry: Entry) {
+        self.waiting.insert(ticket, entry);
     }
 
     /// Removes a continuation and returns it.
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Entry> {
-        let waiting = self.waiting.shift_remove(&ticket)?;
-        Some(waiting.entry)
+        self.waiting.shift_remove(&ticket)
     }
 
     /// Removes and returns those whose deadline has passed.
     pub(super) fn expire(&mut self, now: Duration) -> Vec<Entry> {
-        self.extract(|waiting| waiting.deadline <= now)
+        self.extract(|entry| entry.deadline <= now)
     }
 
     /// Removes and returns those that no upstream can serve, according to `has_prospect`.
     pub(super) fn extract_hopeless(&mut self, has_prospect: impl Fn(&Job) -> bool) -> Vec<Entry> {
-        self.extract(|waiting| !has_prospect(&waiting.entry.job))
+        self.extract(|entry| !has_prospect(&entry.job))
     }
 
     /// Returns the tickets in the order of arrival.
@@ -50,8 +42,12 @@
     }
 
     pub(super) fn get(&self, ticket: Ticket) -> Option<&Entry> {
-        let waiting = self.waiting.get(&ticket)?;
-        Some(&waiting.entry)
+        self.waiting.get(&ticket)
+    }
+
+    /// Iterates over the continuations.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.waiting.values_mut()
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -62,8 +58,8 @@
         self.waiting.len()
     }
 
-    fn extract(&mut self, remove: impl Fn(&Waiting) -> bool) -> Vec<Entry> {
-        let matching = self.waiting.iter().filter(|(_, waiting)| remove(waiting));
+    fn extract(&mut self, remove: impl Fn(&Entry) -> bool) -> Vec<Entry> {
+        let matching = self.waiting.iter().filter(|(_, entry)| remove(entry));
         let matching: Vec<_> = matching.map(|(ticket, _)| *ticket).collect();
         let entries = matching.into_iter().map(|ticket| self.remove(ticket));
         entries.flatten().collect()
--- a/crates/router/src/dispatch/pools.rs
+++ b/crates/router/src/dispatch/pools.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::rules::{RuleSet, Setting, Upstream};
+use fescue_core::rules::{RuleSet, Setting};
 use fescue_core::{
     DataCentreId, ModelId, Priority, Refusal, RequestId, ServiceId, SoftwareVersion, TeamId,
     Tokens, UpstreamId, Weight,
@@ -17,11 +17,14 @@
 
 use super::Permit;
 use super::queue::{GrantContext, PoolQueue};
-use crate::upstream::Upstreams;
+use crate::upstream::{Handle, Upstreams};
 
 /// The target waiting time of a priority that has no rule.
 const DEFAULT_TARGET: Duration = Duration::from_secs(30);
 
+/// The shortest limit on the time in the queue, enough for a check of the queue.
+const MIN_WAIT: Duration = Duration::from_millis(50);
+
 /// The upstreams that can serve a request: those of one model or one plain service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Pool {
@@ -69,6 +72,8 @@
     /// The software version that began the answer, if it is to go on; only upstreams that last reported it
     /// are considered.
     pub version: Option<SoftwareVersion>,
+    /// The time that earlier attempts at the request have waited, which counts against both limits.
+    pub waited: Duration,
 }
 
 pub(super) type Sender = oneshot::Sender<Result<Permit, Refusal>>;
@@ -78,11 +83,13 @@
     pub(super) job: Job,
     pub(super) sender: Sender,
     pub(super) queued_at: Duration,
+    /// When its target can't be met any more.
+    pub(super) deadline: Duration,
 }
 
 /// An upstream assigned to a queued request, and the channel that reports it.
 pub(super) struct Grant {
-    pub(super) upstream: Arc<Upstream>,
+    pub(super) upstream: Handle,
     pub(super) sender: Sender,
 }
 
@@ -107,6 +114,7 @@
     /// Applies the rules in force; `upstreams` must have applied them before.
     pub fn apply_rules(&mut self, book: &Arc<RuleSet>, upstreams: &Upstreams) {
         self.book = Arc::clone(book);
+        self.queues.retain(|_, queue| !queue.is_unused());
         for (pool, queue) in &mut self.queues {
             queue.apply_rules(book, pool, upstreams);
         }
@@ -117,15 +125,21 @@
         &mut self,
         pool: &Pool,
         ticket: Ticket,
-        entry: Entry,
+        (job, sender): (Job, Sender),
+        queued_at: Duration,
         upstreams: &Upstreams,
     ) -> Result<(), Refusal> {
-        let max_wait = self.max_wait(&entry.job);
+        let entry = Entry {
+            deadline: queued_at + max_wait(&self.book, &job),
+            job,
+            sender,
+            queued_at,
+        };
         if !self.queues.contains_key(pool) {
             let queue = PoolQueue::open(&self.book, pool, upstreams);
             self.queues.insert(pool.clone(), queue);
         }
-        self.queues[pool].push(pool, ticket, entry, max_wait, upstreams)
+        self.queues[pool].push(pool, ticket, entry, upstreams)
     }
 
     /// Removes a request that is no longer awaited.
@@ -135,11 +149,12 @@
         }
     }
 
-    /// Refuses the requests whose deadline has passed.
-    pub(super) fn expire(&mut self, now: Duration, refusal: impl Fn() -> Refusal) {
-        for queue in self.queues.values_mut() {
-            for entry in queue.expire(now) {
-                let _dropped = entry.sender.send(Err(refusal()));
+    /// Refuses the requests whose deadline has passed and those that nothing can serve any more.
+    pub(super) fn refuse(&mut self, upstreams: &Upstreams, now: Duration, late: &Refusal) {
+        for (pool, queue) in &mut self.queues {
+            refuse_all(queue.expire(now), late);
+            if let Some((entries, refusal)) = queue.take_unservable(pool, upstreams, now) {
+                refuse_all(entries, &refusal);
             }
         }
     }
@@ -175,12 +190,22 @@
             .map(|(pool, queue)| (pool.to_string(), queue.len()))
             .collect()
     }
+}
 
-    fn max_wait(&self, job: &Job) -> Duration {
-        let rule = self.book.priorities.get(&job.priority);
-        let target = rule.map_or(DEFAULT_TARGET, |rule| rule.target);
-        let percent = self.book.setting(Setting::QueueWait) as u32;
-        let max_wait = target * percent / 100;
-        job.max_wait.map_or(max_wait, |limit| max_wait.min(limit))
+fn refuse_all(entries: Vec<Entry>, refusal: &Refusal) {
+    for entry in entries {
+        // A receiver that is gone belongs to a caller that has disconnected.
+        let _dropped = entry.sender.send(Err(refusal.clone()));
     }
 }
+
+/// Returns how long a request may wait under these rules.
+pub(super) fn max_wait(book: &RuleSet, job: &Job) -> Duration {
+    let rule = book.priorities.get(&job.priority);
+    let target = rule.map_or(DEFAULT_TARGET, |rule| rule.target);
+    let percent = book.setting(Setting::QueueWait) as u32;
+    let max_wait = target * percent / 100;
+    let max_wait = job.max_wait.map_or(max_wait, |limit| max_wait.min(limit));
+    // A later attempt may have used the time up, and still goes to an upstream that is free.
+    max_wait.saturating_sub(job.waited).max(MIN_WAIT)
+}
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -13,9 +13,13 @@
 use rand::rngs::SmallRng;
 
 use super::continuations::Continuations;
-use super::pools::{Entry, Grant, Job, Pool};
+use super::isolated::Isolated;
+use super::pools::{Entry, Grant, Job, Pool, max_wait};
 use crate::upstream::{State, Upstreams};
 
+/// The `Retry-After` of a request whose pool has lost all upstreams; the next reports may bring one back.
+const LOST_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The time after which a continuation returns to an upstream where the answer broke off, although another
 /// of its software version may open later.
 const RETURN_DELAY: Duration = Duration::from_secs(1);
@@ -23,7 +27,9 @@
 /// The queue of one pool, with the upstreams that requests in it can be assigned to.
 pub(super) struct PoolQueue {
     queue: Queue,
+    /// The requests in `queue`.
     entries: HashMap<Ticket, Entry>,
+    isolated: Isolated,
     continuations: Continuations,
     rules: Vec<Arc<Upstream>>,
     /// The indices of the upstreams in [`Upstreams`], parallel to `rules`.
@@ -77,6 +83,7 @@
         let mut queue = Self {
             queue: Queue::default(),
             entries: HashMap::new(),
+            isolated: Isolated::default(),
             continuations: Continuations::default(),
             rules: Vec::new(),
             indices: Vec::new(),
@@ -86,7 +93,7 @@
         queue
     }
 
-    /// Applies the rules in force.
+    /// Applies the rules in force: the upstreams, the shares, and the deadlines of what waits.
     pub(super) fn apply_rules(&mut self, book: &RuleSet, pool: &Pool, upstreams: &Upstreams) {
         let known = serving(book, pool);
         let known = known.filter_map(|u| Some((u, upstreams.index_of(&u.name)?)));
@@ -96,48 +103,99 @@
         let members = self.indices.iter().filter_map(|index| upstreams.at(*index));
         self.ring = Ring::open(members.map(State::ring_id));
         self.queue.set_shares(shares(book));
+        self.set_deadlines(book);
+    }
+
+    fn set_deadlines(&mut self, book: &RuleSet) {
+        let mut changed = false;
+        for entry in self
+            .entries
+            .values_mut()
+            .chain(self.isolated.iter_mut())
+            .chain(self.continuations.iter_mut())
+        {
+            let deadline = entry.queued_at + max_wait(book, &entry.job);
+            changed |= deadline != entry.deadline;
+            entry.deadline = deadline;
+        }
+        if changed {
+            let entries = &self.entries;
+            self.queue
+                .set_deadlines(|ticket| Some(entries.get(&ticket)?.deadline));
+        }
+    }
+
+    /// Returns the refusal of all requests for the pool if nothing can serve them.
+    fn unservable(&self, pool: &Pool, upstreams: &Upstreams, now: Duration) -> Option<Refusal> {
+        if self.rules.is_empty() {
+            let message = format!("no upstream serves {pool}");
+            return Some(Refusal::not_run(Reason::NotFound, message));
+        }
+        let mut states = self.indices.iter().filter_map(|i| upstreams.at(*i));
+        states.all(|state| state.is_lost(now)).then(|| {
+            let message = format!("all upstreams of {pool} are down or leaving");
+            Refusal::not_run(Reason::NoUpstream, message).with_retry_after(LOST_RETRY_AFTER)
+        })
+    }
+
+    /// Removes and returns all requests if nothing can serve them, with their refusal.
+    pub(super) fn take_unservable(
+        &mut self,
+        pool: &Pool,
+        upstreams: &Upstreams,
+        now: Duration,
+    ) -> Option<(Vec<Entry>, Refusal)> {
+        if self.len() == 0 {
+            return None;
+        }
+        let refusal = self.unservable(pool, upstreams, now)?;
+        Some((self.expire(Duration::MAX), refusal))
     }
 
-    /// Adds a request, or refuses it if no upstream serves the pool or the expected wait is over
-    /// `max_wait`.
+    /// Adds a request, or refuses it if nothing can serve it or its deadline is expected to pass.
     pub(super) fn push(
         &mut self,
         pool: &Pool,
         ticket: Ticket,
         entry: Entry,
-        max_wait: Duration,
         upstreams: &Upstreams,
     ) -> Result<(), Refusal> {
-        if self.rules.is_empty() {
-            let message = format!("no upstream serves {pool}");
-            return Err(Refusal::not_run(Reason::NotFound, message));
+        if let Some(refusal) = self.unservable(pool, upstreams, entry.queued_at) {
+            return Err(refusal);
         }
         let job = &entry.job;
         if job.version.is_some() {
             if !self.has_prospect(job, upstreams, entry.queued_at) {
                 return Err(version_gone());
             }
-            let deadline = entry.queued_at + max_wait;
-            self.continuations.push(ticket, entry, deadline);
+            self.continuations.push(ticket, entry);
             return Ok(());
         }
-        let ahead = self.queue.ahead(job.priority, &job.team);
+        let isolated = job.isolate.is_some();
+        let ahead = match isolated {
+            true => self.isolated.len(),
+            false => self.queue.ahead(job.priority, &job.team),
+        };
         if ahead > 0 {
             let rate = upstreams.service_rate(&self.indices);
             let wait = retry::expected_wait(ahead, rate);
-            if wait > max_wait {
+            if wait > entry.deadline.saturating_sub(entry.queued_at) {
                 let message = format!("{ahead} requests wait before this one");
                 let refusal = Refusal::not_run(Reason::Overload, message);
                 return Err(refusal.with_retry_after(retry::retry_after(wait)));
             }
         }
+        if isolated {
+            self.isolated.push(ticket, entry);
+            return Ok(());
+        }
         self.queue.push(Waiting {
             ticket,
             priority: job.priority,
             team: job.team.clone(),
             weight: job.weight,
             cost: job.cost,
-            deadline: entry.queued_at + max_wait,
+            deadline: entry.deadline,
         });
         self.entries.insert(ticket, entry);
         Ok(())
@@ -147,6 +205,7 @@
     pub(super) fn remove(&mut self, team: &TeamId, ticket: Ticket) {
         self.queue.remove(team, ticket);
         self.entries.remove(&ticket);
+        self.isolated.remove(ticket);
         self.continuations.remove(ticket);
     }
 
@@ -155,7 +214,10 @@
         let late = self.queue.expire(now);
         let late = late.iter().map(|waiting| waiting.ticket);
         let late = late.filter_map(|ticket| self.entries.remove(&ticket));
-        late.chain(self.continuations.expire(now)).collect()
+        let isolated = self.isolated.take_all(|entry| entry.deadline <= now);
+        late.chain(isolated)
+            .chain(self.continuations.expire(now))
+            .collect()
     }
 
     /// Refuses the continuations that no upstream of their software version can serve soon.
@@ -192,7 +254,12 @@
     }
 
     pub(super) fn len(&self) -> usize {
-        self.queue.len() + self.continuations.len()
+        self.queue.len() + self.isolated.len() + self.continuations.len()
+    }
+
+    /// Returns whether the queue is empty and no upstream serves the pool.
+    pub(super) fn is_unused(&self) -> bool {
+        self.len() == 0 && self.rules.is_empty()
     }
 
     /// Assigns the next request to an upstream, if one is open to it.
@@ -201,56 +268,57 @@
         pool: &Pool,
         context: &mut GrantContext<'_>,
     ) -> Option<Grant> {
-        let resumed = self.grant_continuation(pool, context);
-        if resumed.is_some() {
-            return resumed;
-        }
-        if self.queue.is_empty() || !self.has_capacity(context, None) {
+        if self.len() == 0 || !self.has_capacity(context, None) {
             return None;
         }
-        let only_bulk = self.queue.len() == self.queue.waiting(Priority::Bulk);
-        let bulk_allowed = !only_bulk || self.has_capacity(context, Some(context.bulk_ceiling));
-        let waiting = self.queue.pop(|p| p != Priority::Bulk || bulk_allowed)?;
-        let entry = self.entries.remove(&waiting.ticket)?;
-        let Some(choice) = self.choose(&entry, context) else {
-            // An isolated request can only go to its one upstream, which is not open now.
-            self.entries.insert(waiting.ticket, entry);
-            self.queue.push(waiting);
-            return None;
-        };
-        Some(self.assign(pool, entry, &choice, context))
+        let next = self.next_continuation(context);
+        let next = next.or_else(|| self.next_isolated(context));
+        let (entry, choice) = next.or_else(|| self.next_queued(context))?;
+        let index = self.indices[choice.best.index];
+        let upstream = context.upstreams.at(index)?.handle();
+        context
+            .upstreams
+            .record_start(&upstream, entry.job.prefix, context.now);
+        self.log(pool, &entry, &choice, context.now);
+        let sender = entry.sender;
+        Some(Grant { upstream, sender })
     }
 
-    /// Assigns the first continuation for which an upstream of its software version is open.
-    fn grant_continuation(&mut self, pool: &Pool, context: &mut GrantContext<'_>) -> Option<Grant> {
+    /// Removes the first continuation for which an upstream of its software version is open.
+    fn next_continuation(&mut self, context: &mut GrantContext<'_>) -> Option<(Entry, Choice)> {
         for ticket in self.continuations.tickets() {
             let entry = self.continuations.get(ticket)?;
             let is_bulk = entry.job.priority == Priority::Bulk;
             if is_bulk && !self.has_capacity(context, Some(context.bulk_ceiling)) {
                 continue;
             }
-            if let Some(choice) = self.choose(entry, context) {
-                let entry = self.continuations.remove(ticket)?;
-                return Some(self.assign(pool, entry, &choice, context));
+            let choice = match entry.job.isolate {
+                Some(_) => self.isolated(&entry.job, context),
+                None => self.choose(entry, context),
+            };
+            if let Some(choice) = choice {
+                return Some((self.continuations.remove(ticket)?, choice));
             }
         }
         None
     }
 
-    fn assign(
-        &self,
-        pool: &Pool,
-        entry: Entry,
-        choice: &Choice,
-        context: &mut GrantContext<'_>,
-    ) -> Grant {
-        let upstream = Arc::clone(&self.rules[choice.best.index]);
-        context
-            .upstreams
-            .record_start(&upstream.name, entry.job.prefix, context.now);
-        self.log(pool, &entry, choice, context.now);
-        let sender = entry.sender;
-        Grant { upstream, sender }
+    /// Removes the first isolated request whose upstream is open.
+    fn next_isolated(&mut self, context: &GrantContext<'_>) -> Option<(Entry, Choice)> {
+        let mut isolated = std::mem::take(&mut self.isolated);
+        let next = isolated.take(|entry| self.isolated(&entry.job, context));
+        self.isolated = isolated;
+        next
+    }
+
+    /// Removes the next request of the fair queue. Unlike an isolated one, it can go to any open upstream.
+    fn next_queued(&mut self, context: &mut GrantContext<'_>) -> Option<(Entry, Choice)> {
+        let only_bulk = self.queue.len() == self.queue.waiting(Priority::Bulk);
+        let bulk_allowed = !only_bulk || self.has_capacity(context, Some(context.bulk_ceiling));
+        let waiting = self.queue.pop(|p| p != Priority::Bulk || bulk_allowed)?;
+        let entry = self.entries.remove(&waiting.ticket)?;
+        let choice = self.choose(&entry, context)?;
+        Some((entry, choice))
     }
 
     /// Returns whether any upstream is open, and below `bulk_ceiling` percent if that is given.
@@ -273,9 +341,6 @@
             job,
             skip_failed: !job.failed.is_empty(),
         };
-        if let Some(fingerprint) = job.isolate {
-            return self.isolated(fingerprint, &candidates);
-        }
         let choice = placement::choose(context.rng, job.prefix, &self.ring, &candidates);
         if choice.is_some() || !candidates.skip_failed || !may_return {
             return choice;
@@ -284,18 +349,33 @@
         placement::choose(context.rng, job.prefix, &self.ring, &candidates)
     }
 
-    /// Returns the one upstream that all routers send requests with this fingerprint to; for continuations,
-    /// it is one for each software version.
-    fn isolated(&self, fingerprint: u64, candidates: &QueueCandidates<'_>) -> Option<Choice> {
-        let state = |index: usize| candidates.upstreams.at(self.indices[index]);
-        let version = candidates.job.version.as_ref();
-        let suits = |s: &State| s.is_up() && (version.is_none() || s.version() == version);
-        let up = (0..self.indices.len()).filter(|i| state(*i).is_some_and(suits));
-        let member = |index: &usize| state(*index).map(State::ring_id).unwrap_or_default();
-        let index = up.max_by_key(|index| hash::score(fingerprint, member(index)))?;
-        let candidate = candidates.candidate(index);
+    /// Returns the upstream that all routers send requests with the job's fingerprint to, if it is open: the
+    /// first by hash of those that are up, after those where an attempt at the job failed are left out. For
+    /// continuations, it is one for each software version.
+    fn isolated(&self, job: &Job, context: &GrantContext<'_>) -> Option<Choice> {
+        let fingerprint = job.isolate?;
+        let state = |index: usize| {
+            let state = context.upstreams.at(self.indices[index]);
+            let version = job.version.as_ref();
+            let suits = |s: &&State| s.is_up() && (version.is_none() || s.version() == version);
+            state.filter(suits)
+        };
+        let score = |index: &usize| {
+            let member = state(*index).map(State::ring_id).unwrap_or_default();
+            hash::score(fingerprint, member)
+        };
+        let up = || (0..self.indices.len()).filter(|index| state(*index).is_some());
+        let untried = |index: &usize| !job.failed.contains(&self.rules[*index].name);
+        let first = up().filter(untried).max_by_key(score);
+        let index = first.or_else(|| up().max_by_key(score))?;
+        let state = state(index)?;
+        let bulk = job.priority == Priority::Bulk;
+        if !state.is_open(context.now) || (bulk && !state.is_open_to_bulk(context.bulk_ceiling)) {
+            return None;
+        }
+        let candidate = state.candidate(context.local, job.prefix, job.prompt, context.now);
         let cost = candidate.cost();
-        candidate.open.then_some(Choice {
+        Some(Choice {
             best: placement::Scored { index, cost },
             reason: placement::Reason::Only,
             next: None,
--- a/crates/router/src/front/chat/continuation.rs
+++ b/crates/router/src/front/chat/continuation.rs
@@ -41,7 +41,7 @@
         let upstream = &permit.upstream.name;
         tracing::warn!(request = %self.caller.request, %upstream, %expected, named = named.as_ref().map(SoftwareVersion::as_str), "the upstream is of another software version; its answer is dropped");
         let mut upstreams = self.front.board.upstreams.lock();
-        upstreams.record_version(upstream, named);
+        upstreams.record_version(permit.handle(), named);
         // The answer has not gone on yet.
         self.resumed = false;
         true
--- a/crates/router/src/upstream/state/version.rs
+++ b/crates/router/src/upstream/state/version.rs
@@ -2,12 +2,10 @@
 
 use std::time::Duration;
 
-use fescue_core::{SoftwareVersion, UpstreamId};
+use fescue_core::SoftwareVersion;
 
 use super::{State, UNKNOWN_INCARNATION, Upstreams};
-
-/// The time without reports after which a continuation doesn't wait for an upstream to come back.
-const MAX_SILENCE: Duration = Duration::from_millis(1500);
+use crate::upstream::Handle;
 
 impl State {
     /// Returns the software version that the upstream named last; `None` if it is unknown.
@@ -20,16 +18,14 @@
     pub fn may_go_on(&self, version: &SoftwareVersion, now: Duration) -> bool {
         let same = self.version() == Some(version);
         let pending = self.incarnation == UNKNOWN_INCARNATION;
-        let silent = self.down_since.map(|since| now.saturating_sub(since));
-        let down = silent.is_some_and(|silent| silent > MAX_SILENCE);
-        (same || pending) && !self.leaving && !down
+        (same || pending) && !self.is_lost(now)
     }
 }
 
 impl Upstreams {
     /// Records the software version that an upstream named last; `None` if that can't be read.
-    pub fn record_version(&mut self, name: &UpstreamId, version: Option<SoftwareVersion>) {
-        if let Some(state) = self.states.get_mut(name) {
+    pub fn record_version(&mut self, handle: &Handle, version: Option<SoftwareVersion>) {
+        if let Some(state) = self.current(handle) {
             state.version = version;
         }
     }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the router, with one module per feature.
 
+mod dispatch;
 mod fleet;
 mod gateway;
 mod gateway_crashes;
@@ -14,6 +15,7 @@
 mod gateway_resumes;
 mod gateway_site;
 mod gateway_stops;
+mod load_reports;
 mod money_deaths;
 mod money_figures;
 mod money_generated;
@@ -21,6 +23,7 @@
 mod odd_rows;
 mod process_admin;
 mod process_calls;
+mod process_changes;
 mod process_endings;
 mod process_floods;
 mod process_grace;
@@ -32,6 +35,7 @@
 mod process_service;
 mod process_stops;
 mod process_versions;
+mod process_waits;
 mod restored;
 mod rules_in_force;
 mod shutdown_steps;
