--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -12,6 +12,7 @@
 use fescue_policy::retry;
 use rand::rngs::SmallRng;
 
+use super::continuations::Continuations;
 use super::isolated::Isolated;
 use super::pools::{Entry, Grant, Job, Pool, max_wait};
 use crate::upstream::{State, Upstreams};
@@ -19,12 +20,17 @@
 /// The `Retry-After` of a request whose pool has lost all upstreams; the next reports may bring one back.
 const LOST_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The time after which a continuation returns to an upstream where the answer broke off, although another
+/// of its software version may open later.
+const RETURN_DELAY: Duration = Duration::from_secs(1);
+
 /// The queue of one pool, with the upstreams that requests in it can be assigned to.
 pub(super) struct PoolQueue {
     queue: Queue,
     /// The requests in `queue`.
     entries: HashMap<Ticket, Entry>,
     isolated: Isolated,
+    continuations: Continuations,
     rules: Vec<Arc<Upstream>>,
     /// The indices of the upstreams in [`Upstreams`], parallel to `rules`.
     indices: Vec<usize>,
@@ -65,6 +71,9 @@
         if self.skip_failed && job.failed.contains(&self.queue.rules[index].name) {
             return Candidate::CLOSED;
         }
+        if job.version.is_some() && state.version() != job.version.as_ref() {
+            return Candidate::CLOSED;
+        }
         state.candidate(self.local, job.prefix, job.prompt, self.now)
     }
 }
@@ -75,6 +84,7 @@
             queue: Queue::default(),
             entries: HashMap::new(),
             isolated: Isolated::default(),
+            continuations: Continuations::default(),
             rules: Vec::new(),
             indices: Vec::new(),
             ring: Ring::default(),
@@ -98,7 +108,12 @@
 
     fn set_deadlines(&mut self, book: &RuleSet) {
         let mut changed = false;
-        for entry in self.entries.values_mut().chain(self.isolated.iter_mut()) {
+        for entry in self
+            .entries
+            .values_mut()
+            .chain(self.isolated.iter_mut())
+            .chain(self.continuations.iter_mut())
+        {
             let deadline = entry.queued_at + max_wait(book, &entry.job);
             changed |= deadline != entry.deadline;
             entry.deadline = deadline;
@@ -149,6 +164,13 @@
             return Err(refusal);
         }
         let job = &entry.job;
+        if job.version.is_some() {
+            if !self.has_prospect(job, upstreams, entry.queued_at) {
+                return Err(version_gone());
+            }
+            self.continuations.push(ticket, entry);
+            return Ok(());
+        }
         let isolated = job.isolate.is_some();
         let ahead = match isolated {
             true => self.isolated.len(),
@@ -184,6 +206,7 @@
         self.queue.remove(team, ticket);
         self.entries.remove(&ticket);
         self.isolated.remove(ticket);
+        self.continuations.remove(ticket);
     }
 
     /// Removes and returns the requests whose deadline has passed.
@@ -192,11 +215,46 @@
         let late = late.iter().map(|waiting| waiting.ticket);
         let late = late.filter_map(|ticket| self.entries.remove(&ticket));
         let isolated = self.isolated.take_all(|entry| entry.deadline <= now);
-        late.chain(isolated).collect()
+        late.chain(isolated)
+            .chain(self.continuations.expire(now))
+            .collect()
+    }
+
+    /// Refuses the continuations that no upstream of their software version can serve soon.
+    pub(super) fn refuse_hopeless(&mut self, context: &GrantContext<'_>) {
+        if self.continuations.is_empty() {
+            return;
+        }
+        let mut continuations = std::mem::take(&mut self.continuations);
+        let has_prospect = |job: &Job| self.has_prospect(job, context.upstreams, context.now);
+        for entry in continuations.extract_hopeless(has_prospect) {
+            let _dropped = entry.sender.send(Err(version_gone()));
+        }
+        self.continuations = continuations;
+    }
+
+    /// Returns whether an upstream may soon be open to a continuation.
+    fn has_prospect(&self, job: &Job, upstreams: &Upstreams, now: Duration) -> bool {
+        let version = job.version.as_ref();
+        let suits = |state: &State| version.is_some_and(|version| state.may_go_on(version, now));
+        let mut states = self.indices.iter().filter_map(|index| upstreams.at(*index));
+        states.any(suits)
+    }
+
+    /// Returns whether a continuation may return to an upstream where the answer broke off: no other has its
+    /// software version, or none was open in time.
+    fn may_return(&self, entry: &Entry, context: &GrantContext<'_>) -> bool {
+        let Some(version) = &entry.job.version else {
+            return true;
+        };
+        let is_other = |state: &State| !entry.job.failed.contains(&state.rule().name);
+        let mut states = self.indices.iter().filter_map(|i| context.upstreams.at(*i));
+        let other = states.any(|state| is_other(state) && state.may_go_on(version, context.now));
+        !other || context.now.saturating_sub(entry.queued_at) >= RETURN_DELAY
     }
 
     pub(super) fn len(&self) -> usize {
-        self.queue.len() + self.isolated.len()
+        self.queue.len() + self.isolated.len() + self.continuations.len()
     }
 
     /// Returns whether the queue is empty and no upstream serves the pool.
@@ -213,7 +271,8 @@
         if self.len() == 0 || !self.has_capacity(context, None) {
             return None;
         }
-        let next = self.next_isolated(context);
+        let next = self.next_continuation(context);
+        let next = next.or_else(|| self.next_isolated(context));
         let (entry, choice) = next.or_else(|| self.next_queued(context))?;
         let index = self.indices[choice.best.index];
         let upstream = context.upstreams.at(index)?.handle();
@@ -225,6 +284,25 @@
         Some(Grant { upstream, sender })
     }
 
+    /// Removes the first continuation for which an upstream of its software version is open.
+    fn next_continuation(&mut self, context: &mut GrantContext<'_>) -> Option<(Entry, Choice)> {
+        for ticket in self.continuations.tickets() {
+            let entry = self.continuations.get(ticket)?;
+            let is_bulk = entry.job.priority == Priority::Bulk;
+            if is_bulk && !self.has_capacity(context, Some(context.bulk_ceiling)) {
+                continue;
+            }
+            let choice = match entry.job.isolate {
+                Some(_) => self.isolated(&entry.job, context),
+                None => self.choose(entry, context),
+            };
+            if let Some(choice) = choice {
+                return Some((self.continuations.remove(ticket)?, choice));
+            }
+        }
+        None
+    }
+
     /// Removes the first isolated request whose upstream is open.
     fn next_isolated(&mut self, context: &GrantContext<'_>) -> Option<(Entry, Choice)> {
         let mut isolated = std::mem::take(&mut self.isolated);
@@ -239,7 +317,7 @@
         let bulk_allowed = !only_bulk || self.has_capacity(context, Some(context.bulk_ceiling));
         let waiting = self.queue.pop(|p| p != Priority::Bulk || bulk_allowed)?;
         let entry = self.entries.remove(&waiting.ticket)?;
-        let choice = self.choose(&entry.job, context)?;
+        let choice = self.choose(&entry, context)?;
         Some((entry, choice))
     }
 
@@ -252,7 +330,9 @@
         })
     }
 
-    fn choose(&self, job: &Job, context: &mut GrantContext<'_>) -> Option<Choice> {
+    fn choose(&self, entry: &Entry, context: &mut GrantContext<'_>) -> Option<Choice> {
+        let job = &entry.job;
+        let may_return = self.may_return(entry, context);
         let mut candidates = QueueCandidates {
             queue: self,
             upstreams: context.upstreams,
@@ -262,7 +342,7 @@
             skip_failed: !job.failed.is_empty(),
         };
         let choice = placement::choose(context.rng, job.prefix, &self.ring, &candidates);
-        if choice.is_some() || !candidates.skip_failed {
+        if choice.is_some() || !candidates.skip_failed || !may_return {
             return choice;
         }
         candidates.skip_failed = false;
@@ -270,12 +350,15 @@
     }
 
     /// Returns the upstream that all routers send requests with the job's fingerprint to, if it is open: the
-    /// first by hash of those that are up, after those where an attempt at the job failed are left out.
+    /// first by hash of those that are up, after those where an attempt at the job failed are left out. For
+    /// continuations, it is one for each software version.
     fn isolated(&self, job: &Job, context: &GrantContext<'_>) -> Option<Choice> {
         let fingerprint = job.isolate?;
         let state = |index: usize| {
             let state = context.upstreams.at(self.indices[index]);
-            state.filter(|state| state.is_up())
+            let version = job.version.as_ref();
+            let suits = |s: &&State| s.is_up() && (version.is_none() || s.version() == version);
+            state.filter(suits)
         };
         let score = |index: &usize| {
             let member = state(*index).map(State::ring_id).unwrap_or_default();
@@ -320,6 +403,12 @@
     }
 }
 
+/// Returns the refusal of a continuation whose software version no upstream serves any more.
+fn version_gone() -> Refusal {
+    let message = "no upstream of the software version that began the answer is left";
+    Refusal::not_run(Reason::NoUpstream, message)
+}
+
 fn shares(book: &RuleSet) -> Shares {
     let mut shares = Shares::default();
     for (priority, rule) in &book.priorities {
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -1,5 +1,6 @@
 //! Serves chat completions: admission, placement, relay of the answer, and billing.
 
+mod continuation;
 mod crash;
 mod response;
 
@@ -28,7 +29,7 @@
 use crate::dispatch::{self, Job, Permit, Pool};
 use crate::grace;
 use crate::metrics::Metrics;
-use crate::upstream::Call;
+use crate::upstream::{Call, is_declined, software_version};
 
 /// The maximum number of attempts at one request.
 const MAX_ATTEMPTS: u32 = 3;
@@ -58,6 +59,7 @@
         sender,
         started: Some(started),
         failed: Vec::new(),
+        resumed: false,
         waited: Duration::ZERO,
         deadline: None,
     };
@@ -160,6 +162,8 @@
     /// Reports to the handler that the answer starts or that the request is refused.
     started: Option<oneshot::Sender<Result<(), Refusal>>>,
     failed: Vec<UpstreamId>,
+    /// Whether the answer broke off before.
+    resumed: bool,
     /// The time that the attempts have waited for upstreams.
     waited: Duration,
     /// The end of the time-out, which begins when the request is first sent.
@@ -194,9 +198,12 @@
         // The last failure that doesn't prove that the request didn't run.
         let mut may_have_run = None;
         loop {
-            let mut permit = match self.place(progress.delivered).await {
+            let mut permit = match self.place(progress).await {
                 Ok(permit) => permit,
-                Err(refusal) => return Err(known_refusal(refusal, may_have_run, progress)),
+                Err(refusal) => {
+                    self.log_break_off(progress, &refusal.message);
+                    return Err(known_refusal(refusal, may_have_run, progress));
+                }
             };
             let sent = self.front.board.suspects.lock().start(&self.chat.prints);
             let before = progress.delivered;
@@ -220,9 +227,13 @@
                     tracing::warn!(request = %self.caller.request, delivered, "grace period over; ending the request");
                     return Err(grace::ended(delivered));
                 }
-                Outcome::Failed(failure) => failure,
+                // It says nothing of the upstream's health.
+                Outcome::OtherVersion => Failure::Declined,
+                Outcome::Failed(failure) => {
+                    permit.record_outcome(false);
+                    failure
+                }
             };
-            permit.record_outcome(false);
             self.failed.push(permit.upstream.name.clone());
             let (started, upstream) = (permit.started(), permit.handle().clone());
             drop(permit);
@@ -231,12 +242,15 @@
             self.record_crash(&upstream, crash, &sent).await;
             self.log_failure(failure, attempt, progress.delivered);
             attempt += 1;
+            if let Some(refusal) = self.unknown_version(progress) {
+                return Err(refusal);
+            }
             let in_time = self.deadline.is_none_or(|end| Instant::now() < end);
             let again = in_time && retry::may_retry(failure, true, true) && attempt <= MAX_ATTEMPTS;
             if !failure.proves_not_run() {
                 may_have_run = Some(failure);
             }
-            if !again || !self.front.retries.lock().spend() {
+            if !again || !self.spend_retry(progress.delivered) {
                 let last = may_have_run.unwrap_or(failure);
                 return Err(final_refusal(last, progress.delivered));
             }
@@ -248,7 +262,7 @@
 
     /// Waits for an upstream, unless the router stops and the rest of the answer might not end
     /// before that.
-    async fn place(&mut self, delivered: u64) -> Result<Permit, Refusal> {
+    async fn place(&mut self, progress: &Progress) -> Result<Permit, Refusal> {
         let board = &self.front.board;
         let prints = &self.chat.prints;
         let now = board.now();
@@ -265,9 +279,10 @@
             isolate: (standing == Standing::Suspect).then_some(prints.request),
             max_wait: None,
             waited: self.waited,
+            version: progress.resume_version().cloned(),
         };
         let pool = Pool::Model(self.chat.model.clone());
-        let tokens = self.chat.max_tokens.saturating_sub(delivered);
+        let tokens = self.chat.max_tokens.saturating_sub(progress.delivered);
         let longest = board.stream_time(&self.chat.model, tokens);
         let placed = dispatch::acquire(board, &pool, job);
         let placed = board.unless_too_late(longest, placed).await;
@@ -295,14 +310,21 @@
             vm: &board.me.vm,
             fence: board.fence(),
             resume: progress.delivered,
+            version: progress.resume_version(),
             body: self.chat.body.clone(),
             timeout: deadline.saturating_duration_since(sent_at),
         };
         let reply = tokio::select! {
-            reply = self.front.client.call(&call) => reply,
+            reply = self.front.client.send(&call) => reply,
             () = self.sender.closed() => return Outcome::Disconnected,
         };
+        if let Ok(reply) = &reply
+            && self.is_other_version(permit, reply, progress)
+        {
+            return Outcome::OtherVersion;
+        }
         let reply = match reply {
+            Ok(reply) if is_declined(&reply) => return Outcome::Failed(Failure::Declined),
             Ok(reply) if reply.status().is_success() && relay::is_stream(reply.headers()) => {
                 self.front.record_limit(permit.handle(), reply.headers());
                 reply
@@ -313,6 +335,9 @@
             Err(failure) => return Outcome::Failed(failure),
         };
         self.report_start();
+        if progress.delivered == 0 {
+            progress.version = software_version(reply.headers());
+        }
         let record = |pace| board.record_pace(&self.chat.model, pace);
         let meter = PaceMeter::open(sent_at.elapsed(), record);
         let on_begun = || {
@@ -415,11 +440,17 @@
     }
 }
 
+/// Returns the refusal for an answer that has begun and doesn't go on.
+fn broken_off(delivered: u64) -> Refusal {
+    let message =
+        format!("the answer broke off after {delivered} tokens; a repeat is a new answer");
+    Refusal::ran(Reason::UpstreamFailed, message)
+}
+
 /// Returns the refusal for a request whose last attempt failed.
 fn final_refusal(failure: Failure, delivered: u64) -> Refusal {
     if delivered > 0 {
-        let message = format!("the answer broke off after {delivered} tokens");
-        return Refusal::ran(Reason::UpstreamFailed, message);
+        return broken_off(delivered);
     }
     match failure {
         Failure::NotSent | Failure::Declined => answer::not_taken("no upstream took the request"),
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -289,6 +289,7 @@
             failed: failed.to_vec(),
             isolate: None,
             max_wait: Some(self.rule.timeout),
+            version: None,
             waited,
         };
         let pool = Pool::Service(self.rule.name.clone());
@@ -308,6 +309,7 @@
             vm: &board.me.vm,
             fence: board.fence(),
             resume: 0,
+            version: None,
             body: self.body.clone(),
             timeout: self.rule.timeout,
         };
--- a/crates/router/src/upstream/load.rs
+++ b/crates/router/src/upstream/load.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fescue_core::SoftwareVersion;
 use futures_util::future::join_all;
 use serde::Deserialize;
+use serde_json::Value;
 
 use super::{Client, Handle, State};
 use crate::blackboard::Board;
@@ -19,6 +21,15 @@
     running: u32,
     waiting: u32,
     leaving: bool,
+    #[serde(default)]
+    software_version: Value,
+}
+
+impl Report {
+    /// Returns the software version that the engine names, unless it can't be read.
+    fn version(&self) -> Option<SoftwareVersion> {
+        self.software_version.as_str()?.parse().ok()
+    }
 }
 
 /// The controller that polls engines for their load and stores it on the board.
@@ -63,6 +74,7 @@
             Some(report) => {
                 let requests = report.running.saturating_add(report.waiting);
                 upstreams.record_report(engine, report.incarnation, requests, report.leaving);
+                upstreams.record_version(engine, report.version());
             }
             None => drop(upstreams.record_missed_report(engine, self.board.now())),
         }
--- a/crates/router/src/upstream/snapshot.rs
+++ b/crates/router/src/upstream/snapshot.rs
@@ -1,6 +1,6 @@
 //! What operators see of an upstream.
 
-use fescue_core::{DataCentreId, UpstreamId, record};
+use fescue_core::{DataCentreId, SoftwareVersion, UpstreamId, record};
 
 record! {
     /// The state of one upstream in the operators' API.
@@ -19,5 +19,7 @@
         pub leaving: bool,
         /// Whether it gets no new work because it is down or its circuit breaker is open.
         pub tripped: bool,
+        /// The software version that it named last.
+        pub software_version: Option<SoftwareVersion>,
     }
 }
--- a/crates/router/src/upstream/state.rs
+++ b/crates/router/src/upstream/state.rs
@@ -1,10 +1,12 @@
 //! The state of each upstream as this router knows it.
 
+mod version;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use fescue_core::rules::{RuleSet, Upstream};
-use fescue_core::{DataCentreId, UpstreamId, hash};
+use fescue_core::{DataCentreId, SoftwareVersion, UpstreamId, hash};
 use fescue_policy::limit::{Breaker, Limit, Occupancy};
 use fescue_policy::placement::Candidate;
 use fescue_policy::rate_limit::{Bucket, RequestRate, Statement};
@@ -44,6 +46,7 @@
     generation: u64,
     ring_id: u64,
     incarnation: u64,
+    version: Option<SoftwareVersion>,
     in_flight: u32,
     limit: Limit,
     breaker: Breaker,
@@ -76,6 +79,7 @@
             generation,
             ring_id: hash::digest64(rule.name.as_str().as_bytes()),
             incarnation: first_incarnation(&rule),
+            version: None,
             in_flight: 0,
             limit: Limit::open(rule.slots, 1),
             breaker: Breaker::default(),
@@ -423,6 +427,7 @@
             slots: state.limit.slots(),
             leaving: state.leaving,
             tripped: state.down_since.is_some() || !state.breaker.allows(now),
+            software_version: state.version.clone(),
         };
         self.states.values().map(snapshot).collect()
     }
--- a/crates/router/tests/suite/dispatch.rs
+++ b/crates/router/tests/suite/dispatch.rs
@@ -95,6 +95,7 @@
         isolate: None,
         max_wait: None,
         waited: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -38,6 +38,7 @@
 mod process_resumes;
 mod process_service;
 mod process_stops;
+mod process_versions;
 mod process_waits;
 mod restored;
 mod rules_in_force;
