gateway: count and log an answer that stalls after its head

Callers of plain routes got a 504 (unrepeatable) or a second attempt (repeatable) when an upstream fell silent after the head of its answer; neither the log nor the upstream's record of failures knew of the attempt, so the router went on preferring that upstream. The same held for the body of an error on a route for streams.

Cause: the time-out of the body was mapped to a failure without recording it, while the time-out of the head and a broken body were recorded.

Why it works: the body of a whole answer is read in one place (Job::read_body), and whatever ends an answer after its head is recorded by one function (Job::record_failure), which streams used already. Its log line is `answer failed` for both.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! An admitted request and its attempts at upstreams.
 
+mod answer;
 mod placement;
 mod withdrawal;
 
--- /dev/null
+++ b/crates/gateway/src/job/answer.rs
@@ -0,0 +1,50 @@
+//! The rest of an answer whose head has arrived.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fescue_policy::retry::Failure;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::Job;
+use crate::upstreams::Server;
+
+impl Job {
+    /// Reads the rest of an answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Broke`] or [`Failure::TimedOut`] if it is incomplete; no part of it is passed on.
+    pub async fn read_body(&self, body: Incoming, limit: Instant) -> Result<Bytes, Failure> {
+        match timeout_at(limit, self.gateway.buffers.collect(body)).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(error)) => {
+                tracing::info!(
+                    request = self.call.id,
+                    error,
+                    "can't read the response body"
+                );
+                Err(Failure::Broke)
+            }
+            Err(_) => Err(Failure::TimedOut),
+        }
+    }
+
+    /// Records with the upstream that it did not finish an answer whose head had arrived. `begun` tells
+    /// whether the answer had begun.
+    pub fn record_failure(&self, server: &Arc<Server>, failure: Failure, begun: bool) {
+        server.record_outcome(self.gateway.now(), false);
+        if failure != Failure::TimedOut {
+            self.record_disconnect(server, begun);
+        }
+        let upstream = server.entry.id.as_str();
+        tracing::info!(
+            request = self.call.id,
+            upstream,
+            ?failure,
+            begun,
+            "answer failed"
+        );
+    }
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -5,7 +5,7 @@
 use fescue_core::{Refusal, Tokens};
 use fescue_policy::retry::Failure;
 use http::{Response, StatusCode};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::job::{Job, OpenResponse, whole_response};
 use crate::reply::ResponseBody;
@@ -62,16 +62,8 @@
     } = opened;
     let (head, body) = response.into_parts();
     let server = slot.server();
-    let body = match timeout_at(limit, job.gateway.buffers.collect(body)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            tracing::info!(request = job.call.id, error, "can't read the response body");
-            server.record_outcome(job.gateway.now(), false);
-            job.record_disconnect(server, true);
-            return Err(Failure::Broke);
-        }
-        Err(_) => return Err(Failure::TimedOut),
-    };
+    let body = job.read_body(body, limit).await;
+    let body = body.inspect_err(|failure| job.record_failure(server, *failure, true))?;
     server.record_outcome(job.gateway.now(), true);
     server.recycle(link);
     job.gateway.record_complete(&job.attempt);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -229,14 +229,9 @@
         return Err(Failure::Broke);
     }
     if !head.status.is_success() {
-        let body = timeout_at(limit, job.gateway.buffers.collect(body)).await;
-        let body = body.map_err(|_| Failure::TimedOut)?;
-        let body = body.map_err(|error| {
-            tracing::info!(request = job.call.id, error, "can't read the response body");
-            record_failure(job, &slot, Failure::MidAnswer, false);
-            Failure::MidAnswer
-        })?;
         let server = slot.server();
+        let body = job.read_body(body, limit).await;
+        let body = body.inspect_err(|failure| job.record_failure(server, *failure, false))?;
         server.recycle(link);
         job.finish(head.status, &server.entry.id, "answered", usage.consumed());
         return Ok(Start::Whole(whole_response(&head, body)));
@@ -251,7 +246,8 @@
         settled: false,
     };
     let first = source.next(limit).await;
-    let first = first.inspect_err(|failure| record_failure(job, &source.slot, *failure, false))?;
+    let first =
+        first.inspect_err(|failure| job.record_failure(source.slot.server(), *failure, false))?;
     source.slot.mark_prompt_read();
     source.slot.server().record_outcome(job.gateway.now(), true);
     Ok(Start::Stream(Box::new(OpenStream {
@@ -261,23 +257,6 @@
     })))
 }
 
-/// Records with the upstream that a stream failed there. `begun` tells whether its answer had begun.
-fn record_failure(job: &Job, slot: &Slot, failure: Failure, begun: bool) {
-    let server = slot.server();
-    server.record_outcome(job.gateway.now(), false);
-    if failure != Failure::TimedOut {
-        job.record_disconnect(server, begun);
-    }
-    let upstream = server.entry.id.as_str();
-    tracing::info!(
-        request = job.call.id,
-        upstream,
-        ?failure,
-        begun,
-        "stream failed"
-    );
-}
-
 /// Relays a stream to its caller, resuming it at other upstreams when it breaks.
 struct Relay {
     job: Job,
@@ -379,7 +358,8 @@
                     Err(failure) => break failure,
                 };
             };
-            record_failure(&self.job, &source.slot, failure, source.settled);
+            self.job
+                .record_failure(source.slot.server(), failure, source.settled);
             drop(source);
             (source, next) = self.resume(failure).await?;
         }
