gateway: reject an answer whose head contains the start of another

An upstream that stops inside the head of an answer and writes another answer on the same connection sends bytes that parse as one head: the first one's status, and the second one's id, signature and length. That holds wherever the first one ends in its reason or in the value of a header. Callers then got - a 503, the promise that a request has not run, for calls and streams that had run and may not be repeated; with another upstream they ran twice; - a 200 with the body of the upstream's 500; - a 200 with a short body, framed as whole, where the first head ended in `transfer-encoding:`, which makes the client drop the second one's length. The store's client took such an answer to a transaction, which may have been applied, for the promise that it was not.

Cause: the id that proves whose answer it is came from one head and the status from another. Nothing looked at whether there was only one.

Evidence: gateway_believes_no_head_inside_another, 15 answers on first and on later requests of a connection.

Why it works: head::is_single refuses a head whose reason or a value of whose headers holds a status line. Where a head ends elsewhere (in its status, in a header's name, between lines), the line that follows can't be parsed, which transact_head_cut_off and gateway_heads cover; these passed before.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescue_store::head;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -143,7 +144,7 @@
         });
         let response = self.sender.try_send_request(request).await;
         self.head_limit.clear();
-        response.map_err(|mut error| {
+        let response = response.map_err(|mut error| {
             let unsent = error.take_message().is_some();
             let error = error.into_error().to_string();
             if unsent {
@@ -151,7 +152,12 @@
             } else {
                 LinkError::Broke(error)
             }
-        })
+        })?;
+        if head::is_single(&response) {
+            return Ok(response);
+        }
+        let error = "the response head contains the start of another one";
+        Err(LinkError::Broke(error.to_owned()))
     }
 
     /// Waits up to `limit` until the connection can carry another request; returns false if it
--- a/crates/router/tests/suite/gateway_heads.rs
+++ b/crates/router/tests/suite/gateway_heads.rs
@@ -155,13 +155,23 @@
 
 /// Plays all cuts with one end, on the first requests of connections or on later ones.
 async fn play(end: End, later: bool) {
-    let (site, gateway) = open(&format!("heads-{end:?}-{later}")).await;
     let count = cuts("x-own: a\r\n", "").len();
+    let answer = move |head: &RequestHead, cut| end.steps(part(head, cut));
+    let name = format!("heads-{end:?}-{later}");
+    play_all(&name, count, later, answer).await;
+}
+
+/// Sends requests of each kind to upstreams of which each gives another of `count` answers.
+async fn play_all<F>(name: &str, count: usize, later: bool, answer: F)
+where
+    F: Fn(&RequestHead, usize) -> Vec<Step> + Copy + Send + Sync + 'static,
+{
+    let (site, gateway) = open(name).await;
     let (mut faults, mut kept) = (Vec::new(), 0);
     for cut in 0..count {
         let upstream = KeptUpstream::spawn(move |heads| match heads {
             [.., last] if last.id.ends_with("-0") => vec![Step::Send(whole(last))],
-            [.., last] => end.steps(part(last, cut)),
+            [.., last] => answer(last, cut),
             [] => Vec::new(),
         });
         let upstream = upstream.await.expect("an upstream");
@@ -199,7 +209,7 @@
         !later || kept >= count,
         "{kept} requests on kept connections"
     );
-    assert!(faults.is_empty(), "{end:?} {later}: {faults:#?}");
+    assert!(faults.is_empty(), "{name}: {faults:#?}");
 }
 
 /// Guards against a success that looks complete, a call that may not be repeated and runs twice or is
@@ -220,3 +230,45 @@
 async fn gateway_serves_no_answer_that_stops_in_its_head() {
     tokio::join!(play(End::Silence, false), play(End::Silence, true));
 }
+
+/// Places inside a head with a status and headers after which another head can follow so that both are
+/// well formed as one.
+pub fn starts(status: &str, fields: &str) -> [String; 5] {
+    let line = format!("HTTP/1.1 {status}");
+    [
+        format!("{line} "),
+        format!("{line} Sta"),
+        format!("{line} Status\r\n{fields}x-note:"),
+        format!("{line} Status\r\n{fields}x-note: a"),
+        format!("{line} Status\r\n{fields}transfer-encoding: chu"),
+    ]
+}
+
+/// Returns answers of which each begins with a part of another head.
+fn spliced(head: &RequestHead) -> Vec<String> {
+    let (own, whole) = (own(head), whole(head));
+    let failure = format!("HTTP/1.1 500 Failure\r\n{own}content-length: 2\r\n\r\nno");
+    // The length is lost with the first head, and the body ends before it.
+    let short = whole.replace("content-length: ", "content-length: 9");
+    let refused = starts("503", "x-fescuedrift-not-executed: 1\r\n");
+    let refused = refused.map(|start| start + &whole);
+    let served = starts("200", &own).map(|start| start + &failure);
+    let cut = starts("200", &own).map(|start| start + &short);
+    [refused, served, cut].concat()
+}
+
+/// Guards against a head that mixes two, since the upstream stopped inside the first: a call that may not be
+/// repeated and runs twice or is refused as not run, a success where the upstream failed, and a body that
+/// looks complete without its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_believes_no_head_inside_another() {
+    let count = starts("", "").len() * 3;
+    let answer = |head: &RequestHead, cut| {
+        let text = spliced(head).swap_remove(cut);
+        vec![Step::Send(text), Step::Close]
+    };
+    tokio::join!(
+        play_all("spliced", count, false, answer),
+        play_all("spliced-later", count, true, answer),
+    );
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod billing;
 pub mod claims;
 pub mod config;
+pub mod head;
 pub mod http;
 pub mod keys;
 pub mod table;
