upstream: reject an answer whose head contains the start of another

On the router's own pipeline, callers of a service got "not run" for a call that an upstream had run, or had it run twice although it may not be repeated, and a 200 with the body of the upstream's 500 or with a body whose end was missing. The upstream had stopped inside the head of one answer and written another one behind it: the client reads the first one's status with the second one's id. It is the cause that the gateway had, in the router's own client.

Evidence: answer_with_a_head_inside_another_is_not_believed.

Why it works: the check of the gateway's link, made here for calls and for load reports.

--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -13,6 +13,7 @@
 use fescue_gateway::adapter;
 use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::retry::Failure;
+use fescue_store::head;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -114,6 +115,10 @@
         let first = count_answer(reply.extensions());
         let declined = DECLINED.contains(&reply.status());
         let proved = first || reply.headers().contains_key(REQUEST_HEADER);
+        if !head::is_single(&reply) {
+            tracing::error!(request = %call.request, upstream = %call.address, status = reply.status().as_u16(), "answer's head contains the start of another; treated as lost");
+            return Err(Failure::Broke);
+        }
         if !matches_attempt(reply.headers(), call) || (declined && !proved) {
             tracing::error!(request = %call.request, upstream = %call.address, status = reply.status().as_u16(), "answer can't be proved to belong to the attempt; treated as lost");
             return Err(Failure::Broke);
@@ -132,6 +137,10 @@
         let fetched = tokio::time::timeout(REPORT_TIMEOUT, async {
             let reply = self.http.request(request).await.ok()?;
             count_answer(reply.extensions());
+            if !head::is_single(&reply) {
+                tracing::warn!(upstream = %address, path, "answer's head contains the start of another; treated as lost");
+                return None;
+            }
             collect(reply).await.ok()
         });
         fetched.await.ok()?
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod process_grace;
 mod process_grace_ends;
 mod process_grace_load;
+mod process_heads;
 mod process_input;
 mod process_refusals;
 mod process_resumes;
