store: reject an answer whose head contains the start of another

The client of the table service reported a transaction as not applied, which its callers may then do again, where the service may have applied it: it had stopped inside the head of a 503 and written the answer behind it.

Evidence: store_answer_with_a_head_inside_another_is_lost failed with Unavailable("503 Service Unavailable") in place of Lost and passes now.

--- a/crates/router/tests/suite/process_heads.rs
+++ b/crates/router/tests/suite/process_heads.rs
@@ -2,10 +2,14 @@
 //! processes.
 
 use std::ops::Range;
+use std::time::Duration;
 
+use fescue_core::VmId;
 use fescue_site::kept::{KeptUpstream, Step};
 use fescue_site::scripted::RequestHead;
 use fescue_standin::caller::Request;
+use fescue_store::http::Client;
+use fescue_store::{Table, TableError, Transaction};
 use futures_util::future::join_all;
 use serde_json::json;
 
@@ -148,3 +152,22 @@
     }))
     .await;
 }
+
+/// Guards against a transaction that counts as not applied though the store may have applied it: its answer
+/// ended inside its head, or followed the start of another one.
+#[tokio::test]
+async fn store_answer_with_a_head_inside_another_is_lost() {
+    let whole = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntrue";
+    let spliced = starts("503", "").map(|start| start + whole);
+    let cut = (0..whole.len() - 1).map(|end| whole[..end].to_owned());
+    let vm: VmId = "vm-0".parse().expect("a name");
+    for answer in spliced.into_iter().chain(cut) {
+        let text = answer.clone();
+        let store = KeptUpstream::spawn(move |_| vec![Step::Send(text.clone()), Step::Close]);
+        let store = store.await.expect("a store");
+        let client = Client::open(store.address, Duration::from_secs(2), &vm);
+        let answered = client.transact(&Transaction::default()).await;
+        let lost = matches!(answered, Err(TableError::Lost(_)));
+        assert!(lost, "{answer:?}: {answered:?}");
+    }
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 
-use crate::{Commit, ObjectStore, Row, Table, TableError, Transaction, Vm, VmList};
+use crate::{Commit, ObjectStore, Row, Table, TableError, Transaction, Vm, VmList, head};
 
 record! {
     /// The body of a request that reads rows by key.
@@ -89,6 +89,10 @@
         let request = request.map_err(|e| TableError::Unavailable(e.to_string()))?;
         let answer = tokio::time::timeout(self.timeout, async {
             let response = self.http.request(request).await.map_err(transport_error)?;
+            if !head::is_single(&response) {
+                let error = "the answer's head contains the start of another";
+                return Err(TableError::Lost(error.to_owned()));
+            }
             let status = response.status();
             self.record_era(response.headers());
             let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
