router: ignore SIGHUP instead of dying of it

A router that got SIGHUP, from an operator who expected a reload or from a terminal that closed, ended at once, also in the middle of a planned stop: all connections were cut with no answer, calls that may not be repeated among them, and the tokens and bills were left to the peers.

Cause: nothing handled the signal, whose default is to end the process. The gateway has a handler (it reloads), so its test hid that the router has none.

Evidence: hangup_cuts_no_stream sends SIGHUP before a stop and twice within it. Now its 20 streams and a call end whole, all 21 bills are stored, the row is folded, and the exit is a success.

Why it works: a task of the router receives the signal and logs it; the handler outlives the task, so the signal is also harmless in the last steps of a stop.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -183,6 +183,7 @@
         self.tasks.spawn(async move { closer.run().await });
         self.tasks.spawn(async move { biller.run().await });
         self.tasks.spawn(prepare(Arc::clone(board)));
+        self.tasks.spawn(log_hangups());
     }
 
     /// Runs until a signal arrives or the peers close the allowances, then stops gracefully.
@@ -279,6 +280,15 @@
     }
 }
 
+/// Keeps SIGHUP from ending the process, which is what it does without a handler. A router reads its
+/// settings only once, so there is nothing to reload.
+async fn log_hangups() {
+    loop {
+        wait_for(SignalKind::hangup()).await;
+        tracing::info!("SIGHUP ignored: the settings are read only at the start");
+    }
+}
+
 /// Makes the router ready once it has rules, and either a fencing number or a live peer.
 async fn prepare(board: Arc<Board>) {
     loop {
--- a/crates/router/tests/suite/process_stops.rs
+++ b/crates/router/tests/suite/process_stops.rs
@@ -41,6 +41,33 @@
     assert_eq!(rows.len(), 1, "the stopped router's row is folded");
 }
 
+/// Guards against SIGHUP ending the process at once, also during a stop: it cut all requests and left their
+/// tokens to the peers.
+#[tokio::test]
+async fn hangup_cuts_no_stream() {
+    let mut site = Site::start(&["dakar-1", "dakar-2"], 2, SLOW).await;
+    let open = site.open_streams(0, 20, 50).await;
+    site.routers[0].signal(Signal::HUP);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let during = site.ask(0, &purchase("during")).await;
+    assert_eq!((during.status, during.outcome.as_str()), (200, "ran"));
+    for signal in [Signal::TERM, Signal::HUP, Signal::INT, Signal::HUP] {
+        site.routers[0].signal(signal);
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    for (n, stream) in open.into_iter().enumerate() {
+        let answer = stream.await.expect("a caller").expect("an answer");
+        assert!(answer.is_complete(), "{n}: {answer:?}");
+    }
+    let status = site.routers[0].wait().await;
+    let log = site.routers[0].log_tail(20);
+    assert!(status.success(), "{status}: {log}");
+    assert_eq!(site.bills().await.len(), 21, "all bills are stored");
+    let rows = Accounts::open(site.memory.clone()).allowances().await;
+    let rows = rows.expect("the store is up");
+    assert_eq!(rows.len(), 1, "the stopped router's row is folded");
+}
+
 #[tokio::test]
 async fn rolling_replacement_refuses_nothing() {
     let mut site = Site::start(&["dakar-1", "dakar-1", "dakar-2"], 2, QUICK).await;
