drain: pass on nothing unrepeatable that may outlast a planned stop

Callers of calls and streams that may not be repeated got a 504, or a cut stream, at the end of a router's grace period, for requests that had come late in it. They can't send them again, and had a whole fleet of other routers.

Cause: once the balancer is assumed to send nothing more, a request was taken if twice the longest of its route's latest 128 fitted into the time left. That holds while upstreams are as quick as lately. One that becomes slow during the stop, or silent, makes the request last until its deadline, which the process does not live to see.

Evidence: gateway_grace sends requests of each kind every 200 ms over new and open connections, and bodies in two parts, from the signal until the process is gone, with more signals meanwhile and the upstreams silent. Before, 12 requests of the run without a store had been passed on and were ended with a 504 though their deadline lay after that ("new-Record-36 ... at: 7.07s ... 504").

Why it works: from that point on such a request needs the time until its deadline. Until then nothing changes: the balancer may still send, over 4 s are left, and refusing all streams with long deadlines would cost callers more. Requests that may be repeated and streams that can be resumed are taken as before.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -170,7 +170,12 @@
         let lengths = self.lengths.lock();
         let unknown = Lengths::default();
         let lengths = lengths.get(&route.name).unwrap_or(&unknown);
-        !left.is_zero() && lengths.required(removal, now, bound, route.target) <= left
+        let required = match removal {
+            // Its caller can't send it again if it is ended, but can if it is refused.
+            Removal::Assumed if !route.repeatable() => bound,
+            _ => lengths.required(removal, now, bound, route.target),
+        };
+        !left.is_zero() && required <= left
     }
 
     /// Records how long a request of a route took; `cut` says that it would have taken longer.
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod gateway_endings;
 mod gateway_entries;
 mod gateway_floods;
+mod gateway_grace;
 mod gateway_heads;
 mod gateway_leaving;
 mod gateway_limits;
