router: test arrivals at every part of a stop's grace period

Another operator reported requests that came late in the grace period of a planned stop, were passed on, and were cut at its end with no answer. On the router's own pipeline no request was: calls count their time-out, and streams the slowest pace of late.

The test sends calls that may not be repeated and streams every 100 ms from the signal on, over new and open connections and with bodies in two parts, beside a service that takes 700 ms and with SIGTERM, SIGINT and SIGHUP again meanwhile; once with the table away. Each request ends whole, is refused as not run and has not run, or was never read.

--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -26,6 +26,7 @@
 mod process_endings;
 mod process_floods;
 mod process_grace;
+mod process_grace_arrivals;
 mod process_grace_ends;
 mod process_grace_load;
 mod process_heads;
