gateway: count an answer without length and body as broken off

Callers got a 200 with an empty body, framed as whole, from an upstream that wrote its head with neither a length nor chunks and closed the connection before the body; a stream looked complete without a single event.

Cause: such an answer ends with its connection, so an orderly close after the head was taken for the whole body, as the HTTP standard allows.

Evidence: gateway_refuses_an_answer_that_ends_with_its_head failed with `Chat: Wrong("headless-Chat got \"\"")`, a 200 and an empty stream, and passes for all kinds of request now (502; what may be repeated was tried elsewhere first). The tests of answers that end with their connection and have a body, and those of resumed streams, pass unchanged.

Why it works: an empty success of that form counts as a failed attempt, with its log line. A plain answer of a server that says that it closes the connection (`Connection: close`, HTTP/1.0), of a status that has no body, or to HEAD is still passed on: there an empty body is usual. A short body that ends with an orderly close can't be told from a whole one by any router.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -4,7 +4,8 @@
 
 use fescue_core::{Refusal, Tokens};
 use fescue_policy::retry::Failure;
-use http::{Response, StatusCode};
+use fescue_store::head;
+use http::{Method, Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::job::{Job, OpenResponse, whole_response};
@@ -64,6 +65,11 @@
     let server = slot.server();
     let body = job.read_body(body, limit).await;
     let body = body.inspect_err(|failure| job.record_failure(server, *failure, true))?;
+    let lost = head::may_lack_body(head.version, head.status, &head.headers);
+    if body.is_empty() && lost && job.head.method != Method::HEAD {
+        job.record_failure(server, Failure::Broke, false);
+        return Err(Failure::Broke);
+    }
     server.record_outcome(job.gateway.now(), true);
     server.recycle(link);
     job.gateway.record_complete(&job.attempt);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use fescue_core::{Refusal, UpstreamId};
 use fescue_policy::retry::Failure;
+use fescue_store::head;
 use http::{Response, response};
 use http_body_util::{BodyExt, Either};
 use hyper::body::Incoming;
@@ -245,7 +246,10 @@
         begun: None,
         settled: false,
     };
-    let first = source.next(limit).await;
+    let first = match source.next(limit).await {
+        Ok(Item::End) if form.is_none() && head::is_unframed(&head.headers) => Err(Failure::Broke),
+        first => first,
+    };
     let first =
         first.inspect_err(|failure| job.record_failure(source.slot.server(), *failure, false))?;
     source.slot.mark_prompt_read();
--- a/crates/router/tests/suite/gateway_endings.rs
+++ b/crates/router/tests/suite/gateway_endings.rs
@@ -105,3 +105,13 @@
         assert!(passed, "{kind:?}: {seen:?}");
     }
 }
+
+/// Guards against a success with an empty body, framed as whole, where the upstream closed its connection
+/// between its head and the body, and had not said that it would close.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refuses_an_answer_that_ends_with_its_head() {
+    for (kind, seen) in outcomes("headless", End::Close, head).await {
+        let failed = matches!(&seen, Outcome::Refused { status, .. } if status.as_u16() == 502);
+        assert!(failed, "{kind:?}: {seen:?}");
+    }
+}
--- a/crates/store/src/head.rs
+++ b/crates/store/src/head.rs
@@ -1,6 +1,6 @@
-//! A check of response heads that the HTTP client does not make.
+//! Checks of response heads that the HTTP client does not make.
 
-use http::Response;
+use http::{HeaderMap, Response, StatusCode, Version, header};
 use hyper::ext::ReasonPhrase;
 
 /// Length of the start of a status line: the version, a space and the status.
@@ -28,3 +28,24 @@
             && status[2..].iter().all(u8::is_ascii_digit)
     })
 }
+
+/// Returns whether a body ends where its connection does, since it has neither a length nor chunks.
+pub fn is_unframed(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Returns whether an empty body may have been lost: it ends where its connection does, and the server had
+/// not said that it would close that.
+pub fn may_lack_body(version: Version, status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT].contains(&status);
+    let closes = headers.get_all(header::CONNECTION).iter().any(|value| {
+        let mut options = value.as_bytes().split(|byte| *byte == b',');
+        options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+    });
+    status.is_success()
+        && !bodiless
+        && version == Version::HTTP_11
+        && !closes
+        && is_unframed(headers)
+}
