services: count an answer without length and body as broken off

On the router's own pipeline a call was answered 200 with an empty body, and that answer was kept for its repeats, when the service closed its connection after a head with neither a length nor chunks.

Cause: as in the gateway, an orderly close after the head counted as the whole body.

Evidence: answer_that_ends_with_its_head_is_incomplete failed with (200, "ran") in place of (502, "unknown") and passes now. Completions were never affected, since they need their closing event.

Why it works: the same check, before the answer is kept. The call is billed and its outcome is unknown, as for any answer that is lost.

--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -19,6 +19,7 @@
 use fescue_policy::ledger::Reservation;
 use fescue_policy::retry::{self, Failure};
 use fescue_store::claims::{Answer, ClaimOutcome, ClaimRow};
+use fescue_store::head;
 
 use super::caller::Caller;
 use super::{Front, answer, intake};
@@ -314,8 +315,12 @@
         let kind = reply.headers().get(header::CONTENT_TYPE);
         let kind = kind.and_then(|k| k.to_str().ok()).unwrap_or_default();
         let kind = kind.to_owned();
+        let lost = head::may_lack_body(reply.version(), reply.status(), reply.headers());
         let read = tokio::time::timeout_at(deadline, collect(reply)).await;
         let body = read.map_err(|_| Failure::TimedOut)??;
+        if body.is_empty() && lost {
+            return Err(Failure::Broke);
+        }
         let body = String::from_utf8_lossy(&body).into_owned();
         Ok(Answer {
             status,
--- a/crates/router/tests/suite/process_endings.rs
+++ b/crates/router/tests/suite/process_endings.rs
@@ -95,3 +95,14 @@
         assert_ne!(answer.status, 200, "{}", answer.body);
     }
 }
+
+/// Guards against a success with an empty body, framed as whole, where the upstream closed its connection
+/// between its head and the body, and had not said that it would close.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_ends_with_its_head_is_incomplete() {
+    let (site, _upstream) = start(End::Close, |_| String::new()).await;
+    let answer = site.ask(0, &purchase("p-1")).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (502, "unknown"));
+    let answer = site.ask(0, &collected("c-1")).await;
+    assert_ne!(answer.status, 200, "{}", answer.body);
+}
