gateway: test that answers cut in their head are repeated elsewhere

An empty answer of an upstream that says that it closes the connection is still passed on, so the check of lost bodies refuses no answer of a simple server.

--- a/crates/router/tests/suite/gateway_endings.rs
+++ b/crates/router/tests/suite/gateway_endings.rs
@@ -115,3 +115,17 @@
         assert!(failed, "{kind:?}: {seen:?}");
     }
 }
+
+/// Guards against refusing an empty answer of an upstream that says that it closes the connection. A stream
+/// without an event is refused nevertheless.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_passes_on_an_empty_answer_of_a_closing_upstream() {
+    let closing = |request: &RequestHead| {
+        let head = head(request);
+        head.replace("200 OK\r\n", "200 OK\r\nconnection: close\r\n")
+    };
+    for (kind, seen) in outcomes("closing", End::Close, closing).await {
+        let passed = matches!(&seen, Outcome::Wrong(text) if text.ends_with("got \"\""));
+        assert_eq!(passed, !kind.is_streaming(), "{kind:?}: {seen:?}");
+    }
+}
--- a/crates/router/tests/suite/gateway_heads.rs
+++ b/crates/router/tests/suite/gateway_heads.rs
@@ -272,3 +272,39 @@
         play_all("spliced-later", count, true, answer),
     );
 }
+
+/// Guards against giving up a request that may be repeated because one upstream stopped inside its answer's
+/// head: it goes on at another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_repeats_elsewhere_what_stopped_in_a_head() {
+    let (site, gateway) = open("heads-elsewhere").await;
+    let sound = KeptUpstream::spawn(|heads| vec![Step::Send(whole(&heads[heads.len() - 1]))]);
+    let sound = sound.await.expect("an upstream");
+    for service in [ENGINES, LEDGER] {
+        let entry = upstream_entry(service, sound.address, 64, false);
+        let name = format!("{service}-sound");
+        site.store.store.put("servers", &name, &entry);
+    }
+    let (count, mut broken) = (cuts("x-own: a\r\n", "").len(), 0);
+    for (number, cut) in (0..count).step_by(3).enumerate() {
+        let upstream = KeptUpstream::spawn(move |heads| {
+            let head = &heads[heads.len() - 1];
+            // No whole event arrives: a stream that has begun goes on only where its events do.
+            End::Close.steps(cuts(&own(head), "id: 1\nda").swap_remove(cut))
+        });
+        let upstream = upstream.await.expect("an upstream");
+        replace(&site, &upstream, number).await;
+        for (round, kind) in [Kind::Chat, Kind::Read].repeat(3).into_iter().enumerate() {
+            let mut ask = site.ask(kind, &format!("{kind:?}-{cut}-{round}"));
+            ask.part = format!("{cut:x}{round}");
+            let seen = send(gateway.ports.callers, &ask).await;
+            assert!(
+                matches!(seen, Outcome::Served { .. }),
+                "{}: {seen:?}",
+                ask.id
+            );
+        }
+        broken += upstream.received().len();
+    }
+    assert!(broken >= count / 3, "{broken} answers were cut");
+}
