--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! An admitted request and its attempts at upstreams.
 
+mod answer;
 mod continuation;
 mod placement;
 mod takeover;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,11 +1,11 @@
 //! Requests whose response is read whole before it is passed on.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use fescue_core::{Refusal, Tokens};
 use fescue_policy::retry::Failure;
-use http::{Response, StatusCode};
+use fescue_store::head;
+use http::{Method, Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::job::{Job, Limit, OpenResponse, whole_response};
@@ -64,17 +64,13 @@
     } = opened;
     let (head, body) = response.into_parts();
     let server = slot.server();
-    let gateway = Arc::clone(&job.gateway);
-    let body = match job.wait(limit, gateway.buffers.collect(body)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            tracing::info!(request = job.call.id, error, "can't read the response body");
-            server.record_outcome(job.gateway.now(), false);
-            job.record_disconnect(server, true);
-            return Err(Failure::Broke);
-        }
-        Err(failure) => return Err(failure),
-    };
+    let body = job.read_body(body, limit).await;
+    let body = body.inspect_err(|failure| job.record_failure(server, *failure, true))?;
+    let lost = head::may_lack_body(head.version, head.status, &head.headers);
+    if body.is_empty() && lost && job.head.method != Method::HEAD {
+        job.record_failure(server, Failure::Broke, false);
+        return Err(Failure::Broke);
+    }
     server.record_outcome(job.gateway.now(), true);
     server.recycle(link);
     job.gateway.record_complete(&job.attempt);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use fescue_core::{Refusal, UpstreamId};
 use fescue_policy::retry::Failure;
+use fescue_store::head;
 use http::{Response, response};
 use http_body_util::{BodyExt, Either};
 use hyper::body::Incoming;
@@ -236,14 +237,9 @@
         return Err(Failure::Broke);
     }
     if !head.status.is_success() {
-        let gateway = Arc::clone(&job.gateway);
-        let body = job.wait(limit, gateway.buffers.collect(body)).await?;
-        let body = body.map_err(|error| {
-            tracing::info!(request = job.call.id, error, "can't read the response body");
-            record_failure(job, &slot, Failure::MidAnswer, false);
-            Failure::MidAnswer
-        })?;
         let server = slot.server();
+        let body = job.read_body(body, limit).await;
+        let body = body.inspect_err(|failure| job.record_failure(server, *failure, false))?;
         server.recycle(link);
         job.finish(head.status, &server.entry.id, "answered", usage.consumed());
         return Ok(Start::Whole(whole_response(&head, body)));
@@ -258,7 +254,12 @@
         settled: false,
     };
     let first = job.wait(limit, source.next(limit.end)).await.flatten();
-    let first = first.inspect_err(|failure| record_failure(job, &source.slot, *failure, false))?;
+    let first = match first {
+        Ok(Item::End) if form.is_none() && head::is_unframed(&head.headers) => Err(Failure::Broke),
+        first => first,
+    };
+    let first =
+        first.inspect_err(|failure| job.record_failure(source.slot.server(), *failure, false))?;
     if !job.may_come_from(source.slot.server()) {
         let (request, upstream) = (&job.call.id, source.slot.server().entry.id.as_str());
         tracing::warn!(
@@ -278,23 +279,6 @@
     })))
 }
 
-/// Records with the upstream that a stream failed there. `begun` tells whether its answer had begun.
-fn record_failure(job: &Job, slot: &Slot, failure: Failure, begun: bool) {
-    let server = slot.server();
-    server.record_outcome(job.gateway.now(), false);
-    if failure != Failure::TimedOut {
-        job.record_disconnect(server, begun);
-    }
-    let upstream = server.entry.id.as_str();
-    tracing::info!(
-        request = job.call.id,
-        upstream,
-        ?failure,
-        begun,
-        "stream failed"
-    );
-}
-
 /// Relays a stream to its caller, resuming it at other upstreams when it breaks.
 struct Relay {
     job: Job,
@@ -398,7 +382,8 @@
                     Err(failure) => break failure,
                 };
             };
-            record_failure(&self.job, &source.slot, failure, source.settled);
+            self.job
+                .record_failure(source.slot.server(), failure, source.settled);
             drop(source);
             (source, next) = self.resume(failure).await?;
         }
--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -13,6 +13,7 @@
 use fescue_gateway::adapter;
 use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::retry::Failure;
+use fescue_store::head;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -142,6 +143,10 @@
         let first = count_answer(reply.extensions());
         let declined = is_declined(&reply);
         let proved = first || reply.headers().contains_key(REQUEST_HEADER);
+        if !head::is_single(&reply) {
+            tracing::error!(request = %call.request, upstream = %call.address, status = reply.status().as_u16(), "answer's head contains the start of another; treated as lost");
+            return Err(Failure::Broke);
+        }
         if !matches_attempt(reply.headers(), call) || (declined && !proved) {
             tracing::error!(request = %call.request, upstream = %call.address, status = reply.status().as_u16(), "answer can't be proved to belong to the attempt; treated as lost");
             return Err(Failure::Broke);
@@ -170,6 +175,13 @@
     let reply = http.request(request.body(Full::default()).ok()?).await;
     let reply = reply.ok()?;
     count_answer(reply.extensions());
+    if !head::is_single(&reply) {
+        tracing::warn!(
+            uri,
+            "answer's head contains the start of another; treated as lost"
+        );
+        return None;
+    }
     collect(reply).await.ok()
 }
 
--- a/crates/router/tests/suite/gateway_endings.rs
+++ b/crates/router/tests/suite/gateway_endings.rs
@@ -105,3 +105,27 @@
         assert!(passed, "{kind:?}: {seen:?}");
     }
 }
+
+/// Guards against a success with an empty body, framed as whole, where the upstream closed its connection
+/// between its head and the body, and had not said that it would close.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refuses_an_answer_that_ends_with_its_head() {
+    for (kind, seen) in outcomes("headless", End::Close, head).await {
+        let failed = matches!(&seen, Outcome::Refused { status, .. } if status.as_u16() == 502);
+        assert!(failed, "{kind:?}: {seen:?}");
+    }
+}
+
+/// Guards against refusing an empty answer of an upstream that says that it closes the connection. A stream
+/// without an event is refused nevertheless.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_passes_on_an_empty_answer_of_a_closing_upstream() {
+    let closing = |request: &RequestHead| {
+        let head = head(request);
+        head.replace("200 OK\r\n", "200 OK\r\nconnection: close\r\n")
+    };
+    for (kind, seen) in outcomes("closing", End::Close, closing).await {
+        let passed = matches!(&seen, Outcome::Wrong(text) if text.ends_with("got \"\""));
+        assert_eq!(passed, !kind.is_streaming(), "{kind:?}: {seen:?}");
+    }
+}
