--- a/crates/gateway/src/job/continuation.rs
+++ b/crates/gateway/src/job/continuation.rs
@@ -35,7 +35,7 @@
             Continuation::Unknown => return,
             Continuation::Of(origin) => {
                 let key = self.stream_key();
-                return origins::record(&self.gateway, key, origin, self.give_up());
+                return origins::record(&self.gateway, key, origin, self.resumable_until());
             }
         }
         let Some(version) = self.confirmed_version(server) else {
@@ -48,7 +48,12 @@
             weights,
         };
         if self.route.resumable && !self.call.id.is_empty() {
-            origins::record(&self.gateway, self.stream_key(), &origin, self.give_up());
+            origins::record(
+                &self.gateway,
+                self.stream_key(),
+                &origin,
+                self.resumable_until(),
+            );
         }
         self.continuation = Continuation::Of(origin);
     }
@@ -102,10 +107,10 @@
         }
     }
 
-    /// Returns when the caller gives the request up, its own later attempts included.
-    fn give_up(&self) -> Instant {
-        let patience = self.call.deadline.unwrap_or(Duration::ZERO);
+    /// Returns until when the caller may take the stream up in later attempts.
+    fn resumable_until(&self) -> Instant {
+        let deadline = self.call.deadline.unwrap_or(Duration::ZERO);
         // A caller may name any deadline, also one that no clock reaches.
-        self.arrival + patience.max(self.route.timeout).min(origins::MAX_LIFETIME)
+        self.arrival + deadline.max(self.route.timeout).min(origins::MAX_LIFETIME)
     }
 }
