--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -2,8 +2,8 @@
 //!
 //! Several versions of an upstream's software may serve side by side, and what two of them write doesn't
 //! fit together. A caller whose stream broke off names the attempt that brought its first event, at any
-//! router. Each router keeps the origins of its own streams, tells one or two others at once ([`lookup`]),
-//! and writes those that still run to the store ([`rows`]). A stream of unknown origin is never resumed.
+//! router. Each router keeps the origins of its own streams, tells one or two others at once (`lookup`),
+//! and writes those that still run to the store (`rows`). A stream of unknown origin is never resumed.
 //! See [docs/design/versions.md](../../../docs/design/versions.md).
 
 mod lookup;
