--- a/crates/router/tests/suite/gateway_site.rs
+++ b/crates/router/tests/suite/gateway_site.rs
@@ -82,6 +82,7 @@
     pub fn spawn(&self, vm: &str) -> Gateway {
         let start = GatewayOptions {
             program: Path::new(env!("CARGO_BIN_EXE_fescuedrift")),
+            wrapper: &[],
             dir: &self.folder,
             vm,
             store: self.store.address,
