ingress: wait for what a connection is due, rather than check each twice a second

Cause: each open connection of a caller woke its task every 500 ms.

Change: the task sleeps until the head or the next request is overdue, by the longest limits that were in force since the latest response. These are kept for all connections (time_limits::History) instead of being looked up at each check, so that a limit that came and went between two checks counts as well.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,8 +2,8 @@
 //!
 //! # Lock order
 //!
-//! `handover` before `peers` before `escrow`; no other two are held at once, and none across an
-//! `await`.
+//! `handover` before `peers` before `escrow`, `catalog` before `time_limits`; no other two are held at
+//! once, and none across an `await`.
 
 mod guards;
 
@@ -37,6 +37,7 @@
 use crate::settings::{Settings, Tuning};
 use crate::settlement::Settlement;
 use crate::startup::Startup;
+use crate::time_limits::History;
 use crate::upstreams::{BrokenRequest, Server, Servers};
 
 pub use guards::{RequestGuard, Reservation, TokenSource, TokenWait};
@@ -76,6 +77,8 @@
     pub origins: Origins,
     /// The use of the VM's network link.
     pub link: LinkUsage,
+    /// The time limits of callers' connections.
+    pub time_limits: Mutex<History>,
     /// The state of token requests between routers.
     pub handover: Mutex<Handover>,
     /// The number of answers to token requests from other routers; a change wakes waiting requests.
@@ -135,6 +138,7 @@
             permits: Permits::default(),
             origins: Origins::default(),
             link,
+            time_limits: Mutex::default(),
             handover: Mutex::default(),
             peer_replies: watch::Sender::new(0),
             changed: Notify::new(),
@@ -186,6 +190,8 @@
         if known.is_some_and(|known| known >= version) {
             return false;
         }
+        let limits = catalog.manifest().limits.into();
+        self.time_limits.lock().record(Instant::now(), limits);
         *current = Some(Arc::new(catalog));
         true
     }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -2,7 +2,6 @@
 
 mod body;
 mod recorder;
-mod time_limits;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -24,7 +23,6 @@
 use crate::reply::{ResponseBody, refusal_response};
 use body::RecordedBody;
 use recorder::{HeadRecorder, Overdue, RecordedStream};
-use time_limits::TimeLimits;
 
 /// The largest number of open connections from callers; half of the smallest descriptor limit.
 const MAX_CONNECTIONS: usize = 2000;
@@ -32,9 +30,6 @@
 /// The read buffer of one connection; a little larger than the largest head.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
-/// The interval of the checks for a head that takes too long and for an idle connection.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// The pause after a failed accept, as when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -68,7 +63,7 @@
         tracing::info!(%error, "can't set up a caller's connection; closing it");
         return;
     }
-    let recorder = Arc::new(HeadRecorder::open(TimeLimits::current(&gateway)));
+    let recorder = Arc::new(HeadRecorder::open());
     let service = {
         let (gateway, recorder) = (Arc::clone(&gateway), Arc::clone(&recorder));
         service_fn(move |request| answer(Arc::clone(&gateway), Arc::clone(&recorder), request))
@@ -76,12 +71,13 @@
     let tapped = RecordedStream::new(stream, Arc::clone(&recorder), Arc::clone(&gateway));
     let io = TokioIo::new(tapped);
     let mut builder = http1::Builder::new();
-    // The timeout of the HTTP library can't change with the configuration; see `TimeLimits`.
+    // The timeout of the HTTP library can't change with the configuration; see `time_limits`.
     builder.timer(TokioTimer::new()).header_read_timeout(None);
     builder.max_buf_size(MAX_BUFFER_BYTES);
     let connection = builder.serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
-    let mut checks = tokio::time::interval(CHECK_INTERVAL);
+    let mut overdue = std::pin::pin!(recorder.overdue(&gateway.time_limits));
+    let mut closing = false;
     // A connection opened while the process is draining still has one request served.
     let mut draining = *drain.borrow();
     loop {
@@ -100,14 +96,14 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            _ = checks.tick() => {
-                match recorder.check(TimeLimits::current(&gateway)) {
-                    None => {}
-                    Some(Overdue::Idle) => connection.as_mut().graceful_shutdown(),
-                    Some(Overdue::Head) => {
-                        tracing::info!("request head did not arrive in time; closing the caller's connection");
-                        return;
-                    }
+            overdue = overdue.as_mut(), if !closing => match overdue {
+                Overdue::Idle => {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                Overdue::Head => {
+                    tracing::info!("request head did not arrive in time; closing the caller's connection");
+                    return;
                 }
             }
         }
@@ -121,7 +117,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<RecordedBody>, Infallible> {
     let response = respond(&gateway, &recorder, request).await;
-    recorder.start_head(TimeLimits::current(&gateway));
+    recorder.start_head();
     Ok(response.map(|body| RecordedBody::new(body, recorder)))
 }
 
--- a/crates/gateway/src/ingress/recorder.rs
+++ b/crates/gateway/src/ingress/recorder.rs
@@ -3,6 +3,7 @@
 //! The HTTP library drops some of what makes a head ambiguous, such as a `Content-Length` beside a
 //! chunked body, so the raw bytes are checked before the request is served.
 
+use std::future::{Future, poll_fn};
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,10 +12,10 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
-use super::time_limits::TimeLimits;
 use crate::gateway::Gateway;
+use crate::time_limits::History;
 
 /// The largest number of bytes recorded per request.
 const MAX_RECORDED_BYTES: usize = 64 * 1024;
@@ -31,8 +32,8 @@
     responding: bool,
     /// When bytes were last read or written.
     active: Instant,
-    /// The limits on the time until the next request.
-    limits: TimeLimits,
+    /// When the latest response began, whose caller may go by the time limits of that moment.
+    answered: Instant,
 }
 
 /// The recorder of one connection.
@@ -50,14 +51,15 @@
 
 impl HeadRecorder {
     /// Creates the recorder of a new connection.
-    pub(super) fn open(limits: TimeLimits) -> Self {
+    pub(super) fn open() -> Self {
+        let now = Instant::now();
         Self(Mutex::new(Record {
             bytes: Vec::new(),
             since: None,
             head: true,
             responding: false,
-            active: Instant::now(),
-            limits,
+            active: now,
+            answered: now,
         }))
     }
 
@@ -78,18 +80,42 @@
         self.0.lock().active = Instant::now();
     }
 
-    /// Extends the limits by those now in force, and returns what lasts longer than they allow.
-    pub(super) fn check(&self, current: TimeLimits) -> Option<Overdue> {
-        let mut record = self.0.lock();
+    /// Returns when the next request will be overdue by the limits known by now, and in which way; `None`
+    /// while none is awaited.
+    fn due(&self, limits: &Mutex<History>) -> Option<(Instant, Overdue)> {
+        let record = self.0.lock();
         if !record.head || record.responding {
             return None;
         }
-        record.limits = record.limits.max(current);
-        let (from, limit, overdue) = match record.since {
-            Some(since) => (since, record.limits.head, Overdue::Head),
-            None => (record.active, record.limits.idle, Overdue::Idle),
-        };
-        (from.elapsed() > limit).then_some(overdue)
+        let limits = limits.lock().longest_since(record.answered);
+        Some(match record.since {
+            Some(since) => (since + limits.head, Overdue::Head),
+            None => (record.active + limits.idle, Overdue::Idle),
+        })
+    }
+
+    /// Waits until the next request is overdue. Must be polled whenever the connection is: what is awaited
+    /// changes with it.
+    pub(super) async fn overdue(&self, limits: &Mutex<History>) -> Overdue {
+        let mut timer = std::pin::pin!(sleep_until(Instant::now()));
+        poll_fn(|context| {
+            loop {
+                let Some((due, overdue)) = self.due(limits) else {
+                    return Poll::Pending;
+                };
+                if due <= Instant::now() {
+                    return Poll::Ready(overdue);
+                }
+                // A timer that fires too early finds a later due time.
+                if timer.is_elapsed() || due < timer.deadline() {
+                    timer.as_mut().reset(due);
+                }
+                if timer.as_mut().poll(context).is_pending() {
+                    return Poll::Pending;
+                }
+            }
+        })
+        .await
     }
 
     /// Takes the recorded head and stops recording, as the request's body follows.
@@ -101,11 +127,11 @@
     }
 
     /// Starts recording again as a response begins: the next bytes belong to another head.
-    pub(super) fn start_head(&self, limits: TimeLimits) {
+    pub(super) fn start_head(&self) {
         let mut record = self.0.lock();
         record.head = true;
         record.responding = true;
-        record.limits = limits;
+        record.answered = Instant::now();
     }
 
     /// Records that the response has ended. The time for a head that has begun to arrive starts now.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod sse;
 pub mod startup;
 pub mod stream;
+pub mod time_limits;
 pub mod upstreams;
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -14,4 +14,5 @@
 mod site;
 mod sse;
 mod startup;
+mod time_limits;
 mod upstreams;
