upstreams: read the clock once for a placement

Cause: a placement asked each of 170 upstreams five times with a lock of its own, two of them with a reading of the clock: 260 readings a request, a tenth of the gateway's processor time (perf, 160 engines).

Change: one pass rates each upstream with one lock for its facts and one for its state, at one moment.

--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -11,6 +11,7 @@
 
 use fescue_core::{ServiceId, UpstreamId};
 use fescue_policy::affinity::{self, Candidate};
+use tokio::time::Instant;
 
 use crate::model::Upstream;
 use crate::origins::Origin;
@@ -18,6 +19,7 @@
 use departed::Departed;
 pub use facts::{Facts, Hindrance, Withdrawal};
 pub use server::{BrokenRequest, Server};
+use server::{Moment, Rating};
 
 /// A request's share of an upstream's load, released when dropped.
 #[derive(Debug)]
@@ -227,7 +229,10 @@
     }
 
     fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Arc<Server>> {
-        let usable = |server: &&Arc<Server>| server.entry.service == *service && server.is_usable();
+        let now = Instant::now();
+        let usable = move |server: &&Arc<Server>| {
+            server.entry.service == *service && server.is_usable_at(now)
+        };
         self.table.values().filter(usable)
     }
 
@@ -259,23 +264,24 @@
         requirements: &Requirements<'_>,
         near: &str,
     ) -> Option<Slot> {
-        let available =
-            |server: &&Arc<Server>| server.fits(requirements, now) && server.accepts(now);
-        let mut servers: Vec<_> = self.table.values().filter(available).collect();
-        if servers.is_empty() {
-            // The circuit breaker of every remaining upstream is open; one of them may still serve.
-            let listed =
-                |server: &&Arc<Server>| server.fits(requirements, now) && server.is_usable();
-            servers = self.table.values().filter(listed).collect();
+        let at = Moment::new(now);
+        let rated = self.table.values().filter_map(|server| {
+            let rating = server.rate(requirements, at)?;
+            Some((server, rating))
+        });
+        let mut rated: Vec<_> = rated.collect();
+        if rated.iter().any(|(_, rating)| rating.accepts) {
+            rated.retain(|(_, rating)| rating.accepts);
         }
-        let candidate = |server: &&Arc<Server>| Candidate {
+        // Otherwise the circuit breaker of every remaining upstream is open; one of them may still serve.
+        let candidate = |(server, rating): &(&Arc<Server>, Rating)| Candidate {
             member: server.member,
-            load: server.load(),
+            load: rating.load,
             near: server.entry.data_centre.as_str() == near,
         };
-        let candidates: Vec<_> = servers.iter().map(candidate).collect();
+        let candidates: Vec<_> = rated.iter().map(candidate).collect();
         let chosen = affinity::choose(&candidates, requirements.prefix, requirements.tie_breaker)?;
-        let server = Arc::clone(servers[chosen]);
+        let server = Arc::clone(rated[chosen].0);
         {
             let mut state = server.state.lock();
             state.running += 1;
--- a/crates/gateway/src/upstreams/facts.rs
+++ b/crates/gateway/src/upstreams/facts.rs
@@ -68,23 +68,30 @@
         if let Some(fact) = &self.leaving {
             return Some(hindrance(Withdrawal::Leaving, fact, None));
         }
-        let fact = self.pause.as_ref()?;
-        let left = fact.end?.saturating_duration_since(now);
-        let left = Some(left).filter(|left| !left.is_zero())?;
-        Some(hindrance(Withdrawal::Pausing, fact, Some(left)))
+        let left = self.paused(now)?;
+        Some(hindrance(
+            Withdrawal::Pausing,
+            self.pause.as_ref()?,
+            Some(left),
+        ))
+    }
+
+    /// Returns what is left of a pause.
+    fn paused(&self, now: Instant) -> Option<Duration> {
+        let left = self.pause.as_ref()?.end?.saturating_duration_since(now);
+        Some(left).filter(|left| !left.is_zero())
     }
 
     /// Returns what is left of the current step after a pause, if it allows no further request.
-    fn step(&self, now: Instant) -> Option<Hindrance> {
-        let fact = self.pause.as_ref()?;
-        let since = now.saturating_duration_since(fact.end?).as_millis();
+    fn stepped(&self, now: Instant) -> Option<Duration> {
+        let end = self.pause.as_ref()?.end?;
+        let since = now.saturating_duration_since(end).as_millis();
         let step = u32::try_from(since / STEP_TIME.as_millis()).unwrap_or(STEPS);
         if step >= STEPS || self.placed < FIRST_STEP_REQUESTS << step {
             return None;
         }
-        let end = fact.end? + STEP_TIME * (step + 1);
-        let left = end.saturating_duration_since(now);
-        Some(hindrance(Withdrawal::Pausing, fact, Some(left)))
+        let end = end + STEP_TIME * (step + 1);
+        Some(end.saturating_duration_since(now))
     }
 }
 
@@ -135,7 +142,18 @@
     pub fn hindrance(&self) -> Option<Hindrance> {
         let now = Instant::now();
         let known = self.0.lock();
-        known.withdrawn(now).or_else(|| known.step(now))
+        let stepped = || {
+            let left = known.stepped(now)?;
+            let fact = known.pause.as_ref()?;
+            Some(hindrance(Withdrawal::Pausing, fact, Some(left)))
+        };
+        known.withdrawn(now).or_else(stepped)
+    }
+
+    /// Returns whether there is a [`Self::hindrance`].
+    pub(super) fn hinders(&self, now: Instant) -> bool {
+        let known = self.0.lock();
+        known.leaving.is_some() || known.paused(now).is_some() || known.stepped(now).is_some()
     }
 
     /// Returns why a request that was placed at the upstream may no longer be sent there.
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -34,6 +34,34 @@
 /// The number of unread prompt tokens that count as much load as one running request.
 const UNREAD_TOKENS_PER_REQUEST: f64 = 4000.0;
 
+/// One moment on both clocks. A placement looks at all upstreams, and reads the clock once.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Moment {
+    /// The time since the process started.
+    pub now: Duration,
+    /// The same moment.
+    pub instant: Instant,
+}
+
+impl Moment {
+    /// Creates the current moment, `now` after the process started.
+    pub fn new(now: Duration) -> Self {
+        Self {
+            now,
+            instant: Instant::now(),
+        }
+    }
+}
+
+/// How an upstream at which a request may run compares with others.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rating {
+    /// Its work divided by its capacity.
+    pub load: f64,
+    /// Whether its circuit breaker allows a request.
+    pub accepts: bool,
+}
+
 /// This router's connections and requests at one upstream.
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -57,22 +85,26 @@
 }
 
 impl State {
+    fn is_listed(&self, now: Instant) -> bool {
+        self.grace_end.is_none_or(|until| now < until)
+    }
+
     fn limit(&self, now: Duration) -> Option<RequestRate> {
         self.statement?.limit(now)
     }
 
-    fn blocked(&self, now: Duration) -> Option<Duration> {
-        self.limit(now)?;
+    fn blocked(&self, at: Moment) -> Option<Duration> {
+        self.limit(at.now)?;
         let until = self.blocked_until?;
-        let left = until.saturating_duration_since(Instant::now());
+        let left = until.saturating_duration_since(at.instant);
         Some(left).filter(|left| !left.is_zero())
     }
 
     /// Returns whether the limit may allow a request; one that is not `limited` needs that there is none.
-    fn allows(&self, limited: bool, now: Duration) -> bool {
+    fn allows(&self, limited: bool, at: Moment) -> bool {
         match limited {
-            true => self.blocked(now).is_none(),
-            false => self.limit(now).is_none(),
+            true => self.blocked(at).is_none(),
+            false => self.limit(at.now).is_none(),
         }
     }
 }
@@ -228,7 +260,7 @@
     /// Returns how long the upstream's limit or a pause allows no request; `None` if it may get one now.
     pub(super) fn blocked(&self, now: Duration) -> Option<Block> {
         let block = |wait, pausing| Block { wait, pausing };
-        let limit = self.state.lock().blocked(now);
+        let limit = self.state.lock().blocked(Moment::new(now));
         let pause = self.facts.hindrance().and_then(|known| known.wait);
         let limit = limit.map(|wait| block(wait, false));
         limit.max(pause.map(|wait| block(wait, true)))
@@ -239,12 +271,6 @@
         self.state.lock().running
     }
 
-    pub(super) fn load(&self) -> f64 {
-        let state = self.state.lock();
-        let work = f64::from(state.running) + state.unread as f64 / UNREAD_TOKENS_PER_REQUEST;
-        work / f64::from(self.entry.slots.max(1))
-    }
-
     pub(super) fn mark_missing(&self, grace: Duration) {
         let mut state = self.state.lock();
         state
@@ -254,17 +280,16 @@
 
     /// Returns whether the upstream is listed or still in its grace period.
     pub(super) fn is_listed(&self) -> bool {
-        let grace_end = self.state.lock().grace_end;
-        grace_end.is_none_or(|until| Instant::now() < until)
+        self.state.lock().is_listed(Instant::now())
     }
 
     /// Returns whether the upstream may get new requests.
     pub fn is_usable(&self) -> bool {
-        !self.entry.draining && self.is_listed() && !self.facts.is_leaving()
+        self.is_usable_at(Instant::now())
     }
 
-    pub(super) fn accepts(&self, now: Duration) -> bool {
-        self.is_usable() && self.state.lock().breaker.allows(now)
+    pub(super) fn is_usable_at(&self, now: Instant) -> bool {
+        !self.entry.draining && self.state.lock().is_listed(now) && !self.facts.is_leaving()
     }
 
     /// Returns the version of its software; `None` if it names none, or if the process that named it has
@@ -288,12 +313,24 @@
             && requirements.origin.is_none_or(continues)
     }
 
-    /// Returns whether a request with these requirements may be sent there, apart from the circuit
-    /// breaker.
-    pub(super) fn fits(&self, requirements: &Requirements<'_>, now: Duration) -> bool {
-        self.suits(requirements)
+    /// Rates the upstream for a request with these requirements; `None` if the request may not be sent
+    /// there, apart from the circuit breaker.
+    pub(super) fn rate(&self, requirements: &Requirements<'_>, at: Moment) -> Option<Rating> {
+        let fits = self.suits(requirements)
+            && !self.entry.draining
             && !requirements.denied.contains(&self.entry.id)
-            && self.state.lock().allows(requirements.limited, now)
-            && self.facts.hindrance().is_none()
+            && !self.facts.hinders(at.instant);
+        if !fits {
+            return None;
+        }
+        let state = self.state.lock();
+        if !state.allows(requirements.limited, at) || !state.is_listed(at.instant) {
+            return None;
+        }
+        let work = f64::from(state.running) + state.unread as f64 / UNREAD_TOKENS_PER_REQUEST;
+        Some(Rating {
+            load: work / f64::from(self.entry.slots.max(1)),
+            accepts: state.breaker.allows(at.now),
+        })
     }
 }
