--- a/crates/gateway/src/budget/settlement.rs
+++ b/crates/gateway/src/budget/settlement.rs
@@ -1,7 +1,7 @@
 //! Settles the rows of licenses after the store has come back from an older copy.
 //!
 //! The copy has forgotten licenses that are in force. Each process writes its own row again, with the
-//! difference between what it holds and what the copy says (see [`super::draw`]). This task does the
+//! difference between what it holds and what the copy says (see `budget::draw`). This task does the
 //! same for the VMs whose processes can't, from what they told this router of their rows, and closes what
 //! nobody knows. Until all rows are settled, no tokens are drawn. See
 //! [docs/design/restored-store.md](../../../docs/design/restored-store.md).
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Asks routers for a sign of life, each at most once in [`PROBE_INTERVAL`].
+    /// Asks routers for a sign of life, each at most once in `PROBE_INTERVAL`.
     pub fn probe(&self, routers: &[SocketAddr]) {
         let mut peers = self.peers.lock();
         for router in routers {
