crowded routers: leave the rotation and refuse by the use of processor and link

Cause: the balancer sends all of a caller's new connections to one router. At 295 VMs ten pairs of a VM and a team make up half of the busiest data centre's requests; a VM of 0.12 cores serves about 200 a second, and a caller with several hundred fills a link of 20 Mbit/s within half a second. Everybody there was served late, and connections to upstreams timed out. Ruled out: the upstreams (free), the budget (a small part of the refusals once it was its own part).

Change: policy::crowding, without network and clock. A router withdraws at 0.6 of processor or link and returns after 20 s of calm; at most a quarter of a data centre, none if the others are crowded too. Beyond a limit that follows the use, requests are refused at once (429, crowded), small teams and urgent requests last. Heartbeats carry data centre, use and withdrawal.

Conclusion: what is left is the first two seconds of a sudden load, which the balancer can't move.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -109,6 +109,8 @@
     BudgetExhausted,
     /// The latency target can't be met under the current load.
     Overload,
+    /// The router's processor or link is nearly used up; others of the data centre may have room.
+    Crowded,
     /// The request is quarantined because it crashed upstreams before.
     Quarantined,
     /// No upstream accepted the request.
@@ -138,7 +140,7 @@
             Self::RequestIdReused | Self::MayHaveRun => 409,
             Self::TooLarge => 413,
             Self::Quarantined => 422,
-            Self::Overload => 429,
+            Self::Overload | Self::Crowded => 429,
             Self::UpstreamFailed => 502,
             Self::NoUpstream | Self::StoreDown | Self::TokensPending | Self::NotReady => 503,
             Self::Deadline => 504,
@@ -159,6 +161,7 @@
             Self::TooLarge => "too_large",
             Self::Quarantined => "quarantined",
             Self::Overload => "overload",
+            Self::Crowded => "crowded",
             Self::UpstreamFailed => "upstream_failed",
             Self::NoUpstream => "no_upstream",
             Self::StoreDown => "store_down",
--- /dev/null
+++ b/crates/gateway/src/crowd.rs
@@ -0,0 +1,113 @@
+//! Decides by the use of processor and link what this router takes; measures the processor.
+
+use std::time::Duration;
+
+use fescue_core::{TeamId, hash};
+use fescue_policy::crowding::{Arrival, Crowding, Neighbours, Refused, Usage};
+use parking_lot::Mutex;
+use tokio::runtime::{Handle, RuntimeMetrics};
+use tokio::time::Instant;
+
+/// The use of processor and link by this router, and what follows from it.
+#[derive(Debug, Default)]
+pub struct Crowd {
+    state: Mutex<Crowding>,
+}
+
+impl Crowd {
+    /// Decides whether a request is served.
+    ///
+    /// # Errors
+    ///
+    /// What its caller is told if it isn't.
+    pub fn admit(&self, team: Option<&TeamId>, rank: u8) -> Result<(), Refused> {
+        let team = team.map_or(0, |team| hash::digest64(team.as_str().as_bytes()));
+        self.state.lock().admit(Arrival { team, rank })
+    }
+
+    /// Returns the average use of the resource that is nearer to its end.
+    pub fn busy(&self) -> f64 {
+        self.state.lock().busy()
+    }
+
+    /// Returns whether the balancer should send no new connections.
+    pub fn is_withdrawn(&self) -> bool {
+        self.state.lock().is_withdrawn()
+    }
+
+    /// Returns whether a caller whose request is refused would reach this router again if it connected
+    /// anew.
+    pub fn awaits_removal(&self) -> bool {
+        self.state.lock().awaits_removal()
+    }
+
+    /// Takes over what was used since the last call.
+    pub fn observe(&self, usage: Usage, elapsed: Duration, neighbours: Neighbours) {
+        let mut state = self.state.lock();
+        let limited = state.limit().is_some();
+        let changed = state.observe(usage, elapsed, neighbours);
+        let (busy, limit) = (state.busy(), state.limit());
+        drop(state);
+        let Usage { processor, link } = usage;
+        if let Some(withdrawn) = changed {
+            let Neighbours {
+                routers,
+                withdrawn: others,
+                ..
+            } = neighbours;
+            tracing::info!(
+                withdrawn,
+                busy,
+                processor,
+                link,
+                others,
+                routers,
+                "readiness changed by the use of processor and link"
+            );
+        }
+        if limited != limit.is_some() {
+            tracing::info!(
+                busy,
+                processor,
+                link,
+                limit,
+                "limit on admitted requests begins or ends"
+            );
+        }
+    }
+}
+
+/// Measures the time for which the process's tasks run.
+pub struct Meter {
+    runtime: RuntimeMetrics,
+    busy: Duration,
+    at: Instant,
+    elapsed: Duration,
+}
+
+impl Meter {
+    /// Creates a meter of the current runtime, which has one thread for tasks.
+    pub fn open() -> Self {
+        let runtime = Handle::current().metrics();
+        Self {
+            busy: runtime.worker_total_busy_duration(0),
+            runtime,
+            at: Instant::now(),
+            elapsed: Duration::ZERO,
+        }
+    }
+
+    /// Returns the part of the time since the last call for which the processor was in use.
+    pub fn sample(&mut self) -> f64 {
+        let busy = self.runtime.worker_total_busy_duration(0);
+        self.elapsed = self.at.elapsed();
+        let used = busy.saturating_sub(self.busy);
+        (self.busy, self.at) = (busy, Instant::now());
+        used.as_secs_f64() / self.elapsed.as_secs_f64().max(f64::EPSILON)
+    }
+
+    /// Returns the time between the last two calls of [`Self::sample`].
+    pub fn elapsed(&self) -> Duration {
+        self.elapsed
+    }
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -62,6 +62,8 @@
     /// The era of the last scan.
     era: Option<Era>,
     heartbeats: u64,
+    /// What the latest heartbeat said of this router.
+    withdrawn: bool,
     /// Whether a previous process on this VM had written a row.
     restarted: bool,
     scans: u32,
@@ -87,7 +89,8 @@
             let own = format!("{ROUTER_PREFIX}{}", gateway.settings.vm);
             self.restarted = rows.iter().any(|row| row.key == own);
         }
-        if scans.is_multiple_of(SCANS_PER_HEARTBEAT) || !suspects.is_empty() {
+        let news = !suspects.is_empty() || self.withdrawn != gateway.crowd.is_withdrawn();
+        if scans.is_multiple_of(SCANS_PER_HEARTBEAT) || news {
             let written = self.write(gateway, table, &suspects).await;
             if written.is_err() {
                 gateway.outbox.push_to_store(suspects);
@@ -119,7 +122,11 @@
             incarnation: gateway.incarnation,
             count: self.heartbeats,
             address: gateway.settings.listen.peers,
+            data_centre: Some(gateway.settings.data_centre.clone()),
+            withdrawn: gateway.crowd.is_withdrawn(),
+            busy_percent: (gateway.crowd.busy() * 100.0) as u8,
         };
+        self.withdrawn = heartbeat.withdrawn;
         let mut transaction = Transaction::default();
         let key = format!("{ROUTER_PREFIX}{}", gateway.settings.vm);
         transaction.put.push(Put::encode(key, &heartbeat));
@@ -161,7 +168,13 @@
         self.scans += 1;
         let complete = self.restarted || self.scans >= DISCOVERY_SCANS;
         let live = self.others.live();
-        let peers = live.map(|(vm, beat)| Peer::new(vm, beat.address, beat.incarnation));
+        let here = Some(&gateway.settings.data_centre);
+        let peers = live.map(|(vm, beat)| {
+            let near = beat.data_centre.as_ref() == here;
+            Peer::new(vm, beat.address, beat.incarnation)
+                .placed(near)
+                .using(beat.busy_percent, beat.withdrawn)
+        });
         let peers: Vec<_> = peers.collect();
         let live = peers.len() + 1;
         gateway.peers.lock().set(peers, complete);
--- a/crates/gateway/src/fleet/heartbeats.rs
+++ b/crates/gateway/src/fleet/heartbeats.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use fescue_core::{Incarnation, record};
+use fescue_core::{DataCentreId, Incarnation, record};
 use indexmap::IndexMap;
 
 /// Number of scans without a new heartbeat after which a router counts as dead.
@@ -21,6 +21,15 @@
         pub count: u64,
         /// Address on which it receives datagrams from other routers.
         pub address: SocketAddr,
+        /// Data centre of its VM; absent in heartbeats of older routers.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub data_centre: Option<DataCentreId>,
+        /// Whether it takes no new connections because it is crowded.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub withdrawn: bool,
+        /// Its use of processor and link, in percent.
+        #[serde(default)]
+        pub busy_percent: u8,
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::budget::Budget as TokenBudget;
 use crate::buffers::Buffers;
 use crate::catalog::Catalog;
+use crate::crowd::Crowd;
 use crate::datagrams::Courier;
 use crate::drain::Drain;
 use crate::gossip::Outbox;
@@ -78,6 +79,8 @@
     pub origins: Origins,
     /// The use of the VM's network link.
     pub link: LinkUsage,
+    /// The use of the VM's processor.
+    pub crowd: Crowd,
     /// The time limits of callers' connections.
     pub time_limits: Mutex<History>,
     /// Notified when the upstreams or the configuration change.
@@ -140,6 +143,7 @@
             permits: Permits::default(),
             origins: Origins::default(),
             link,
+            crowd: Crowd::default(),
             time_limits: Mutex::default(),
             changed: Notify::new(),
             startup: Mutex::default(),
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -20,7 +20,7 @@
 use crate::gateway::Gateway;
 use crate::link;
 use crate::pipeline;
-use crate::reply::{ResponseBody, refusal_response};
+use crate::reply::{KeepConnection, ResponseBody, refusal_response};
 use body::RecordedBody;
 use recorder::{HeadRecorder, Overdue, RecordedStream};
 
@@ -143,7 +143,8 @@
     }
     let response = pipeline::serve(Arc::clone(gateway), request).await;
     // Closing the connection makes the caller reconnect, and so reach another router.
-    let turned_away = response.status() == StatusCode::TOO_MANY_REQUESTS;
+    let keeps = response.extensions().get::<KeepConnection>().is_some();
+    let turned_away = response.status() == StatusCode::TOO_MANY_REQUESTS && !keeps;
     let closing = gateway.drain.is_started() || turned_away || gateway.link.should_shed();
     if closing { close(response) } else { response }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A gateway accepts any request whose host and path match a route, and forwards it to an upstream
 //! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`fleet`],
-//! [`gossip`], [`link_use`], [`origins`], [`permits`] and [`reload`] are the controllers; [`gateway`] holds the state that
+//! [`gossip`], [`origins`], [`permits`], [`reload`] and [`usage`] are the controllers; [`gateway`] holds the state that
 //! they share, and [`adapter`] the traits that connect a platform. The design is in
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
@@ -11,6 +11,7 @@
 pub mod buffers;
 pub mod catalog;
 pub mod crash_check;
+pub mod crowd;
 pub mod datagrams;
 pub mod drain;
 pub mod feeds;
@@ -41,3 +42,4 @@
 pub mod stream;
 pub mod time_limits;
 pub mod upstreams;
+pub mod usage;
--- a/crates/gateway/src/link_use.rs
+++ b/crates/gateway/src/link_use.rs
@@ -1,17 +1,10 @@
 //! Measures this router's utilization of its VM's network link.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use fescue_policy::link::LinkMonitor;
 use parking_lot::Mutex;
-use tokio::time::{Instant, MissedTickBehavior, interval};
-
-use crate::gateway::Gateway;
-
-/// Interval between measurements.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Bytes added to each read or write for the headers of its packet and of the acknowledgement.
 const PACKET_OVERHEAD_BYTES: u64 = 120;
@@ -63,9 +56,9 @@
         self.share.lock().should_shed(rand::random())
     }
 
-    /// Updates the utilization from the bytes counted since the last sample; returns it as a
-    /// fraction of the capacity.
-    fn sample(&self, elapsed: Duration) -> f64 {
+    /// Updates the utilization from the bytes counted since the last sample; returns the average, and that
+    /// since the last sample, as fractions of the capacity.
+    pub fn sample(&self, elapsed: Duration) -> (f64, f64) {
         let bytes = self.bytes.swap(0, Ordering::Relaxed);
         let mut share = self.share.lock();
         if let Some(busy) = share.observe(bytes, elapsed) {
@@ -75,19 +68,6 @@
                 "link utilization changed between busy and not busy"
             );
         }
-        share.utilization()
-    }
-}
-
-/// Samples the link for as long as the process runs and exports its utilization.
-pub async fn run(gateway: Arc<Gateway>) {
-    let mut samples = interval(SAMPLE_INTERVAL);
-    samples.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last = Instant::now();
-    loop {
-        samples.tick().await;
-        let part = gateway.link.sample(last.elapsed());
-        gateway.metrics.link_percent.set((part * 100.0) as i64);
-        last = Instant::now();
+        (share.utilization(), share.current())
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,8 @@
     pub token_messages: Family<TokenMessageLabels, Counter>,
     /// Utilization of the VM's link in percent.
     pub link_percent: Gauge,
+    /// Part of the time for which the process's tasks run, in percent.
+    pub processor_percent: Gauge,
     /// Number of open requests.
     pub running: Gauge,
     /// Log lines dropped since the start because the output was slow.
@@ -90,6 +92,7 @@
             moved: Family::default(),
             token_messages: Family::default(),
             link_percent: Gauge::default(),
+            processor_percent: Gauge::default(),
             running: Gauge::default(),
             log_dropped: Gauge::default(),
             manifest_version: Gauge::default(),
@@ -117,6 +120,9 @@
         r.register("token_messages", help, self.token_messages.clone());
         let help = "Percent of the VM's link in use.";
         r.register("link_percent", help, self.link_percent.clone());
+        let help = "Percent of the time for which the process's tasks run.";
+        let gauge = self.processor_percent.clone();
+        r.register("processor_percent", help, gauge);
         r.register("running", "Requests that are open.", self.running.clone());
         let help = "Log lines dropped since the start.";
         r.register("log_dropped", help, self.log_dropped.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fescue_core::{Incarnation, TeamId, VmId, hash};
+use fescue_policy::crowding::Neighbours;
 use fescue_policy::homes::{self, Role};
 use tokio::time::Instant;
 
@@ -22,6 +23,12 @@
     pub address: SocketAddr,
     /// Incarnation of its running process.
     pub incarnation: Incarnation,
+    /// Whether it is in the data centre of this router.
+    pub near: bool,
+    /// Whether it takes no new connections because it is crowded.
+    pub withdrawn: bool,
+    /// Its use of processor and link, in percent.
+    pub busy_percent: u8,
 }
 
 impl Peer {
@@ -31,6 +38,23 @@
             member: hash::digest64(vm.as_bytes()),
             address,
             incarnation,
+            near: false,
+            withdrawn: false,
+            busy_percent: 0,
+        }
+    }
+
+    /// Sets whether it is in the data centre of this router.
+    pub fn placed(self, near: bool) -> Self {
+        Self { near, ..self }
+    }
+
+    /// Sets its use of processor and link, and whether it takes no new connections.
+    pub fn using(self, busy_percent: u8, withdrawn: bool) -> Self {
+        Self {
+            busy_percent,
+            withdrawn,
+            ..self
         }
     }
 }
@@ -76,6 +100,20 @@
         }
     }
 
+    /// Returns what is known of the routers of the data centre; `own` is this router's member hash.
+    pub fn near(&self, own: u64) -> Neighbours {
+        let near = self.list.iter().filter(|peer| peer.near);
+        let withdrawn = near.clone().filter(|peer| peer.withdrawn);
+        let open = near.clone().filter(|peer| !peer.withdrawn);
+        let percent: u32 = open.clone().map(|peer| u32::from(peer.busy_percent)).sum();
+        Neighbours {
+            routers: near.count() + 1,
+            withdrawn: withdrawn.clone().count(),
+            before: withdrawn.filter(|peer| peer.member < own).count(),
+            busy: f64::from(percent) / 100.0 / open.count().max(1) as f64,
+        }
+    }
+
     /// Returns the number of live routers, this one included.
     pub fn routers(&self) -> usize {
         self.list.len() + 1
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -26,7 +26,7 @@
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::model::{Call, Route, RouteKind, Service, Team};
-use crate::reply::{ResponseBody, refusal_response};
+use crate::reply::{KeepConnection, ResponseBody, refusal_response};
 use crate::{plain, stream};
 use reserve::reserve;
 
@@ -94,7 +94,11 @@
             detail = refusal.message,
             "refused"
         );
-        refusal_response(&refusal)
+        let mut response = refusal_response(&refusal);
+        if refusal.reason == Reason::Crowded && gateway.crowd.awaits_removal() {
+            response.extensions_mut().insert(KeepConnection);
+        }
+        response
     })
 }
 
@@ -171,6 +175,12 @@
             "the router stops before the request could end",
         ));
     }
+    if let Err(refused) = gateway.crowd.admit(name.as_ref(), rank) {
+        let message = "the router's processor or link is nearly used up";
+        return Err(
+            Refusal::not_run(Reason::Crowded, message).with_retry_after(refused.retry_after)
+        );
+    }
     if gateway.is_isolated() {
         let message = "the router's link is full, and it doesn't hear which upstreams leave";
         return Err(
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -28,7 +28,8 @@
     State(gateway): State<Arc<Gateway>>,
     ConnectInfo(from): ConnectInfo<SocketAddr>,
 ) -> StatusCode {
-    let ready = gateway.phase() == Phase::Ready && !gateway.link.is_busy();
+    let crowded = gateway.link.is_busy() || gateway.crowd.is_withdrawn();
+    let ready = gateway.phase() == Phase::Ready && !crowded;
     gateway.drain.record_check(from.ip(), !ready);
     match ready {
         true => StatusCode::OK,
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -44,6 +44,10 @@
     Either::Left(Full::new(bytes))
 }
 
+/// Marks a response after which the caller's connection is kept, as it would reach this router again.
+#[derive(Clone, Copy, Debug)]
+pub struct KeepConnection;
+
 /// Encodes a refusal as a JSON response, with `Retry-After` if the refusal has a delay.
 pub fn refusal_response(refusal: &Refusal) -> Response<ResponseBody> {
     let body = serde_json::json!({
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,7 @@
 use crate::logs::Logs;
 use crate::reload::Reload;
 use crate::settings::Settings;
-use crate::{budget, datagrams, feeds, fleet, ingress, link_use, origins, probe, startup};
+use crate::{budget, datagrams, feeds, fleet, ingress, origins, probe, startup, usage};
 
 /// The interfaces to a platform, provided by its adapter.
 pub struct Platform {
@@ -100,7 +100,7 @@
     tokio::spawn(budget::settlement::run(tokens));
     tokio::spawn(startup::await_prepared(Arc::clone(&gateway)));
     tokio::spawn(datagrams::run(Arc::clone(&gateway), peers));
-    tokio::spawn(link_use::run(Arc::clone(&gateway)));
+    tokio::spawn(usage::run(Arc::clone(&gateway)));
     tokio::spawn(fleet::run(Arc::clone(&gateway), Arc::clone(&table)));
     tokio::spawn(origins::run(Arc::clone(&gateway)));
     tokio::spawn(probe::serve_ready(Arc::clone(&gateway), ready));
--- /dev/null
+++ b/crates/policy/src/crowding.rs
@@ -0,0 +1,319 @@
+//! What a router does whose processor or link is nearly used up.
+//!
+//! The load balancer sends each caller's new connections to one router, whatever that can carry. A crowded
+//! router therefore
+//!
+//! - withdraws: it reports that it isn't ready, so that new connections go to other routers. It keeps the
+//!   connections that it has, whose load stays, so that several routers share a caller that is too large
+//!   for one;
+//! - refuses at once what it can't serve, rather than serving everybody late. The limit follows the use.
+//!   Teams that take a small part of its requests come first, then the more urgent requests;
+//! - lets callers connect anew with their refusals, once the balancer knows that it has withdrawn.
+//!
+//! Not more than a quarter of the routers of a data centre withdraw, and none if most are crowded: there is
+//! nowhere to go. See [docs/design/load.md](../../../docs/design/load.md).
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The part of the link's capacity that counts as a fully used link: with more, answers are late and
+/// connections can't be opened.
+const FULL_LINK_PART: f64 = 0.9;
+
+/// The use above which the router withdraws.
+const WITHDRAW_ABOVE: f64 = 0.6;
+
+/// The use below which the router is calm.
+const CALM_BELOW: f64 = 0.35;
+
+/// The time for which a withdrawn router must be calm before it takes new connections again: the balancer
+/// sends it the same callers as before.
+const CALM_TIME: Duration = Duration::from_secs(20);
+
+/// The part of a data centre's routers that may withdraw at the same time.
+const MAX_WITHDRAWN_PART: f64 = 0.25;
+
+/// The average use of a data centre's routers above which none withdraws: the others couldn't take its
+/// callers.
+const NEIGHBOURS_FULL_ABOVE: f64 = 0.6;
+
+/// The time after a withdrawal within which the balancer learns of it: two checks a second apart.
+const REMOVAL_TIME: Duration = Duration::from_millis(2200);
+
+/// The shortest time after which a refused request may come again.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// The use above which fewer requests are admitted.
+const ADMIT_LESS_ABOVE: f64 = 0.9;
+
+/// The use below which more requests are admitted.
+const ADMIT_MORE_BELOW: f64 = 0.8;
+
+/// The factors per second by which the limit on admitted requests falls and rises.
+const FALL: f64 = 0.45;
+const RISE: f64 = 1.6;
+
+/// The use that is counted at most: a link may be offered a multiple of what it carries.
+const MAX_USE: f64 = 1.5;
+
+/// The lowest limit, in requests per second.
+const MIN_LIMIT: f64 = 5.0;
+
+/// The time for which unused admissions are kept.
+const BURST: Duration = Duration::from_millis(300);
+
+/// The gain per second with which averages follow what is measured.
+const GAIN: f64 = 3.0;
+
+/// The gain per second of the averages that tell what a request costs.
+const COST_GAIN: f64 = 0.25;
+
+/// The part of the requests that would use everything up, by their cost, to which the limit falls at most:
+/// after a sudden load the use stays high until the work that waits is done, however little is admitted.
+const FALL_TO_PART: f64 = 0.6;
+
+/// The part of a router's requests up to which a team's are all admitted before other teams'.
+const SMALL_TEAM_PART: f64 = 0.25;
+
+/// The part of the unused admissions that are kept from requests of each further rank.
+const RESERVED_PART: f64 = 0.3;
+
+/// The largest part that is kept from any request.
+const MAX_RESERVED_PART: f64 = 0.8;
+
+/// Number of teams whose part of the requests is known.
+const MAX_TEAMS: usize = 256;
+
+/// A request to be admitted.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// A hash of its team; zero for requests without one.
+    pub team: u64,
+    /// Its rank; zero is the most urgent.
+    pub rank: u8,
+}
+
+/// A request that is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// The time after which another router may get it.
+    pub retry_after: Duration,
+    /// Whether its caller should connect anew.
+    pub reconnect: bool,
+}
+
+/// What a router used of its VM since the last observation.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// The part of the time for which the processor was in use.
+    pub processor: f64,
+    /// The part of the link's capacity that was used; above 1 if the link is overloaded.
+    pub link: f64,
+}
+
+impl Usage {
+    /// Returns the use of the resource that is nearer to its end.
+    fn most(self) -> f64 {
+        let most = self.processor.max(self.link / FULL_LINK_PART);
+        most.clamp(0.0, MAX_USE)
+    }
+}
+
+/// The routers of the data centre, as far as this one knows.
+#[derive(Clone, Copy, Debug)]
+pub struct Neighbours {
+    /// Number of routers, this one included.
+    pub routers: usize,
+    /// Number of other routers that have withdrawn.
+    pub withdrawn: usize,
+    /// Number of those that precede this one in an order that all routers share.
+    pub before: usize,
+    /// The average use of the routers that haven't withdrawn.
+    pub busy: f64,
+}
+
+impl Neighbours {
+    /// Returns how many routers may have withdrawn at the same time.
+    fn most(self) -> usize {
+        match self.busy < NEIGHBOURS_FULL_ABOVE {
+            true => (self.routers as f64 * MAX_WITHDRAWN_PART) as usize,
+            false => 0,
+        }
+    }
+}
+
+/// The use of one router's processor and link, and what follows from it.
+#[derive(Clone, Debug, Default)]
+pub struct Crowding {
+    /// The average use of the resource that is nearer to its end.
+    busy: f64,
+    /// Slower averages of the use and of the admitted requests per second.
+    cost_use: f64,
+    cost_rate: f64,
+    /// The time since the withdrawal; `None` while new connections are taken.
+    withdrawn: Option<Duration>,
+    calm: Duration,
+    /// The limit on admitted requests per second; `None` while all are admitted.
+    limit: Option<f64>,
+    /// The unused admissions.
+    unused: f64,
+    /// Requests admitted since the last observation.
+    admitted: u32,
+    /// Requests that arrived since the last observation.
+    arrived: u32,
+    /// The averages of both per second.
+    admitted_rate: f64,
+    arrival_rate: f64,
+    /// The requests of each team, weighted by their age.
+    teams: HashMap<u64, f64>,
+}
+
+impl Crowding {
+    /// Takes over what was used in the time `elapsed` since the last call. Returns whether this router has
+    /// withdrawn, if that has changed.
+    pub fn observe(
+        &mut self,
+        usage: Usage,
+        elapsed: Duration,
+        neighbours: Neighbours,
+    ) -> Option<bool> {
+        let seconds = elapsed.as_secs_f64();
+        if seconds <= 0.0 {
+            return None;
+        }
+        let gain = (GAIN * seconds).min(1.0);
+        self.busy += (usage.most() - self.busy) * gain;
+        let rate = |count: &mut u32| f64::from(std::mem::take(count)) / seconds;
+        let admitted = rate(&mut self.admitted);
+        self.admitted_rate += (admitted - self.admitted_rate) * gain;
+        let slow = (COST_GAIN * seconds).min(1.0);
+        self.cost_use += (usage.most() - self.cost_use) * slow;
+        self.cost_rate += (admitted - self.cost_rate) * slow;
+        self.arrival_rate += (rate(&mut self.arrived) - self.arrival_rate) * gain;
+        self.teams
+            .values_mut()
+            .for_each(|count| *count *= 1.0 - gain);
+        self.teams.retain(|_, count| *count > 0.01);
+        self.adapt(seconds);
+        self.withdraw(elapsed, neighbours)
+    }
+
+    /// Adapts the limit to the use.
+    fn adapt(&mut self, seconds: f64) {
+        if self.busy > ADMIT_LESS_ABOVE {
+            let known = self.limit.unwrap_or(self.admitted_rate);
+            // A limit that isn't reached has no effect.
+            let limit = known.min(self.admitted_rate.max(MIN_LIMIT));
+            let least = limit.min(FALL_TO_PART * self.affordable()).max(MIN_LIMIT);
+            self.limit = Some((limit * FALL.powf(seconds)).max(least));
+        } else if self.busy < ADMIT_MORE_BELOW
+            && let Some(limit) = self.limit
+        {
+            let limit = limit * RISE.powf(seconds);
+            let needed = limit < 2.0 * self.arrival_rate;
+            self.limit = needed.then_some(limit);
+        }
+        if let Some(limit) = self.limit {
+            self.unused = (self.unused + limit * seconds).min(self.capacity());
+        }
+    }
+
+    /// Returns the number of requests per second that would use everything up, by what requests have cost.
+    fn affordable(&self) -> f64 {
+        match self.cost_use > 0.0 {
+            true => self.cost_rate / self.cost_use,
+            false => 0.0,
+        }
+    }
+
+    fn capacity(&self) -> f64 {
+        let limit = self.limit.unwrap_or_default();
+        (limit * BURST.as_secs_f64()).max(1.0)
+    }
+
+    fn withdraw(&mut self, elapsed: Duration, neighbours: Neighbours) -> Option<bool> {
+        self.calm = match self.busy < CALM_BELOW {
+            true => self.calm.saturating_add(elapsed),
+            false => Duration::ZERO,
+        };
+        let most = neighbours.most();
+        let Some(since) = self.withdrawn else {
+            if self.busy > WITHDRAW_ABOVE && neighbours.withdrawn < most {
+                self.withdrawn = Some(Duration::ZERO);
+                return Some(true);
+            }
+            return None;
+        };
+        self.withdrawn = Some(since.saturating_add(elapsed));
+        // Routers that withdraw at the same time don't know of each other yet.
+        let too_many = neighbours.withdrawn + 1 > most && neighbours.before >= most;
+        if too_many || self.calm >= CALM_TIME {
+            self.withdrawn = None;
+            return Some(false);
+        }
+        None
+    }
+
+    /// Returns whether the balancer should send no new connections.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn.is_some()
+    }
+
+    /// Returns whether the balancer may not know yet that this router has withdrawn.
+    pub fn awaits_removal(&self) -> bool {
+        self.withdrawn.is_none_or(|since| since < REMOVAL_TIME)
+    }
+
+    /// Returns the average use of the resource that is nearer to its end.
+    pub fn busy(&self) -> f64 {
+        self.busy
+    }
+
+    /// Returns the limit on admitted requests per second; `None` while all are admitted.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit
+    }
+
+    /// Decides whether a request is served.
+    ///
+    /// # Errors
+    ///
+    /// What its caller is told if it isn't.
+    pub fn admit(&mut self, arrival: Arrival) -> Result<(), Refused> {
+        self.arrived += 1;
+        if self.teams.len() < MAX_TEAMS || self.teams.contains_key(&arrival.team) {
+            *self.teams.entry(arrival.team).or_default() += 1.0;
+        }
+        if self.limit.is_some() {
+            let most = self.capacity();
+            if self.unused < 1.0 || self.unused < most * self.reserved(arrival) {
+                return Err(self.refusal());
+            }
+            self.unused -= 1.0;
+        }
+        self.admitted += 1;
+        Ok(())
+    }
+
+    /// Returns the part of the unused admissions that are kept from a request.
+    fn reserved(&self, arrival: Arrival) -> f64 {
+        let all: f64 = self.teams.values().sum();
+        let own = self.teams.get(&arrival.team).copied().unwrap_or_default();
+        match own <= all * SMALL_TEAM_PART {
+            true => 0.0,
+            false => (f64::from(arrival.rank) * RESERVED_PART).min(MAX_RESERVED_PART),
+        }
+    }
+
+    /// Returns what the caller of a refused request is told: it reaches another router once the balancer
+    /// knows that this one has withdrawn.
+    fn refusal(&self) -> Refused {
+        let left = self
+            .withdrawn
+            .map(|since| REMOVAL_TIME.saturating_sub(since));
+        Refused {
+            retry_after: left.unwrap_or(BURST).max(MIN_RETRY_AFTER),
+            reconnect: !self.awaits_removal(),
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod account;
 pub mod affinity;
 pub mod bills;
+pub mod crowding;
 pub mod escrow;
 pub mod homes;
 pub mod journal;
--- a/crates/policy/src/link.rs
+++ b/crates/policy/src/link.rs
@@ -35,6 +35,8 @@
     capacity: f64,
     /// The average of the bytes per second that pass the link.
     used: f64,
+    /// The bytes per second of the last observation.
+    current: f64,
     busy: bool,
     /// The time for which the link has been calm.
     calm: Duration,
@@ -46,6 +48,7 @@
         Self {
             capacity,
             used: 0.0,
+            current: 0.0,
             busy: false,
             calm: Duration::ZERO,
         }
@@ -65,6 +68,7 @@
             return None;
         }
         let measured = bytes as f64 / seconds;
+        self.current = measured;
         self.used += (measured - self.used) * (GAIN * seconds).min(1.0);
         let utilization = self.utilization();
         self.calm = match utilization < CALM_BELOW {
@@ -92,6 +96,11 @@
         self.used / self.capacity
     }
 
+    /// Returns the fraction of the capacity that was in use at the last observation.
+    pub fn current(&self) -> f64 {
+        self.current / self.capacity
+    }
+
     /// Returns whether a caller should reconnect after its answer; `random` is between 0 and 1.
     pub fn should_shed(&self, random: f64) -> bool {
         random * self.utilization() < self.utilization() - SHED_ABOVE
--- /dev/null
+++ b/crates/policy/tests/suite/crowding.rs
@@ -0,0 +1,152 @@
+//! Generated loads on the routers of one data centre, and the decisions of a single one.
+
+mod data_centre;
+
+use std::time::Duration;
+
+use data_centre::{Caller, DataCentre};
+use fescue_policy::crowding::{Arrival, Crowding, Neighbours, Usage};
+
+/// Sixty small routers and three of four times their speed, as in the users' largest data centre.
+fn speeds() -> Vec<f64> {
+    let mut speeds = vec![4.0; 3];
+    speeds.resize(63, 1.0);
+    speeds
+}
+
+/// Callers with one or two requests a second each.
+fn small_callers() -> Vec<Caller> {
+    (0..128)
+        .map(|index| Caller::steady(100 + index % 39, 1.5))
+        .collect()
+}
+
+/// One caller sends as many requests as three small routers can serve; the balancer sends all of its
+/// connections to one.
+fn one_large_caller() -> Vec<Caller> {
+    let mut callers = small_callers();
+    callers.push(Caller::steady(1, 300.0));
+    callers
+}
+
+/// Of three changes of a router, two are withdrawals: it must have been calm for 20 s in between.
+const MAX_CHANGES: u32 = 3;
+
+/// A quarter of 63 routers.
+const MAX_WITHDRAWN: usize = 15;
+
+/// Half of 63 routers.
+const MAX_REMOVED: usize = 31;
+
+#[test]
+fn large_caller_is_served_by_several_routers() {
+    let before = DataCentre::open(&speeds(), one_large_caller(), false).run(34.0, 0.0);
+    let after = DataCentre::open(&speeds(), one_large_caller(), true).run(34.0, 0.0);
+    assert!(before.share(1) < 0.3, "{before}");
+    assert!(after.share(1) >= 0.7, "{after}");
+    assert!(after.calm_from <= 15.0, "{after}");
+    assert!(after.changes <= MAX_CHANGES, "{after}");
+    assert!(after.withdrawn <= MAX_WITHDRAWN, "{after}");
+    assert!(after.removed <= MAX_REMOVED, "{after}");
+}
+
+/// The caller of a team sends many times its usual for six seconds.
+#[test]
+fn hot_team_leaves_small_teams_served() {
+    let hot = Caller {
+        span: (10.0, 16.0),
+        ..Caller::steady(1, 300.0)
+    };
+    let callers = || [small_callers(), vec![hot]].concat();
+    let before = DataCentre::open(&speeds(), callers(), false).run(34.0, 10.0);
+    let after = DataCentre::open(&speeds(), callers(), true).run(34.0, 10.0);
+    assert!(after.share(1) > before.share(1) + 0.2, "{before}\n{after}");
+    for team in 100..139 {
+        assert!(after.share(team) >= 0.9, "team {team}: {after}");
+    }
+}
+
+/// All routers are offered a fifth more than the 9,000 requests a second that they can serve: there is
+/// nowhere to go.
+#[test]
+fn routers_that_are_all_crowded_stay() {
+    let callers = || (0..630).map(|index| Caller::steady(100 + index % 39, 17.0));
+    let before = DataCentre::open(&speeds(), callers().collect(), false).run(20.0, 0.0);
+    let after = DataCentre::open(&speeds(), callers().collect(), true).run(20.0, 0.0);
+    assert!(after.withdrawn <= MAX_WITHDRAWN, "{after}");
+    assert!(after.removed <= MAX_REMOVED, "{after}");
+    assert!(after.changes <= MAX_CHANGES, "{after}");
+    assert!(after.total() >= 0.5 * 9000.0 / (630.0 * 17.0), "{after}");
+    assert!(after.total() > before.total(), "{before}\n{after}");
+}
+
+/// A crowded router serves the urgent requests of its large team before the others.
+#[test]
+fn urgent_requests_come_first() {
+    let mut crowding = Crowding::default();
+    let mut served = [0; 3];
+    for step in 0..1000_u32 {
+        for rank in 0..3 {
+            let arrival = Arrival { team: 1, rank };
+            served[usize::from(rank)] += u32::from(crowding.admit(arrival).is_ok());
+        }
+        if step.is_multiple_of(10) {
+            observe(&mut crowding, 0.95, 0.0);
+        }
+    }
+    assert!(served[0] > served[1] && served[1] > served[2], "{served:?}");
+}
+
+/// A link that is fully used has the effect of a processor that is.
+#[test]
+fn full_link_withdraws_and_limits() {
+    let mut crowding = Crowding::default();
+    for _ in 0..20 {
+        let _ = crowding.admit(Arrival { team: 1, rank: 0 });
+        observe(&mut crowding, 0.1, 1.0);
+    }
+    assert!(crowding.is_withdrawn());
+    assert!(crowding.limit().is_some());
+}
+
+/// A withdrawn router takes new connections again when it has been calm for 20 s, not before.
+#[test]
+fn withdrawn_router_returns_after_calm() {
+    let mut crowding = Crowding::default();
+    while !crowding.is_withdrawn() {
+        observe(&mut crowding, 1.0, 0.0);
+    }
+    let calm = (0..).take_while(|_| observe(&mut crowding, 0.0, 0.0) != Some(false));
+    let count = calm.count();
+    assert!((200..220).contains(&count), "{count} tenths of a second");
+}
+
+/// A refused request comes again when the balancer knows that the router has withdrawn; until then its
+/// caller keeps the connection.
+#[test]
+fn refusal_names_time_of_removal() {
+    let mut crowding = Crowding::default();
+    let mut refused = Vec::new();
+    for _ in 0..40 {
+        for _ in 0..100 {
+            refused.extend(crowding.admit(Arrival { team: 1, rank: 0 }).err());
+        }
+        observe(&mut crowding, 1.0, 0.0);
+    }
+    assert!(refused.iter().any(|refused| !refused.reconnect));
+    assert!(refused.last().is_some_and(|refused| refused.reconnect));
+    let longest = refused.iter().map(|refused| refused.retry_after).max();
+    assert!(longest <= Some(Duration::from_millis(2200)), "{longest:?}");
+}
+
+/// Observes a tenth of a second on one of 63 routers.
+fn observe(crowding: &mut Crowding, processor: f64, link: f64) -> Option<bool> {
+    let usage = Usage { processor, link };
+    let neighbours = Neighbours {
+        routers: 63,
+        withdrawn: 0,
+        before: 0,
+        busy: 0.1,
+    };
+    crowding.observe(usage, Duration::from_millis(100), neighbours)
+}
--- a/crates/policy/tests/suite/main.rs
+++ b/crates/policy/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests and simulations of the decision logic.
 
 mod affinity;
+mod crowding;
 mod escrow;
 mod homes;
 mod lifetime;
