tests: a router that stands still while upstreams of a new version join

Cause: the report of another operator: streams that began at new upstreams through other routers were taken up at a router that was out of step, and went on at another version.

Change: a test on real processes. A router stands still while four upstreams of a new version join; 48 streams that began there and at the old ones through another router are taken up at it, half of them at once, the others when it has caught up.

A version is known by the process that began the stream, and a router that can't tell it refuses.

--- a/crates/router/tests/suite/gateway_versions.rs
+++ b/crates/router/tests/suite/gateway_versions.rs
@@ -5,6 +5,7 @@
 mod deaths;
 mod entries;
 mod lookups;
+mod out_of_step;
 mod restarts;
 mod services;
 mod stops;
