crowded routers: a standstill is no use; a setting for shared machines

A process that stood still for some seconds counts that time as busy: it would withdraw for 20 s and admit five requests a second after each freeze. And where other programs share the machine, what these use counts as well: gateway_joins_nothing_before_a_restart_is_listed got 429 (crowded) in a suite beside other work.

Change: an observation more than a second after the last one is left out.

Tests: standstill_changes_nothing failed before; neighbours_are_those_of_the_data_centre, crowded_router_withdraws_and_refuses (gateway).

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -100,8 +100,8 @@
         }
     }
 
-    /// Returns what is known of the routers of the data centre; `own` is this router's member hash.
-    pub fn near(&self, own: u64) -> Neighbours {
+    /// Returns what is known of the routers of the data centre.
+    pub fn near(&self) -> Neighbours {
         let near = self.list.iter().filter(|peer| peer.near);
         let withdrawn = near.clone().filter(|peer| peer.withdrawn);
         let open = near.clone().filter(|peer| !peer.withdrawn);
@@ -109,7 +109,7 @@
         Neighbours {
             routers: near.count() + 1,
             withdrawn: withdrawn.clone().count(),
-            before: withdrawn.filter(|peer| peer.member < own).count(),
+            before: withdrawn.filter(|peer| peer.member < self.own).count(),
             busy: f64::from(percent) / 100.0 / open.count().max(1) as f64,
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,12 +36,20 @@
     pub relist: Duration,
     /// Capacity of the VM's network link each way, in megabits per second; above zero.
     pub link_mbps: f64,
+    /// Whether the router withdraws and refuses requests when the processor or the link is nearly used up. To
+    /// be turned off where other programs share the machine: what these use counts as used up.
+    #[serde(default = "on")]
+    pub crowding: bool,
     /// Retry limits of the fleet.
     pub retries: Retries,
     /// Log filter in the syntax of `tracing`.
     pub log: String,
 }
 
+fn on() -> bool {
+    true
+}
+
 /// The settings that can change while the process runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
@@ -133,6 +141,7 @@
             ("data_centre", self.data_centre != other.data_centre),
             ("listen", self.listen != other.listen),
             ("store", self.store != other.store),
+            ("crowding", self.crowding != other.crowding),
             ("log", self.log != other.log),
         ];
         let differ = fields.into_iter().filter(|(_, differs)| *differs);
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::hash;
 use fescue_policy::crowding::Usage;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -17,7 +16,6 @@
 pub async fn run(gateway: Arc<Gateway>) {
     let mut samples = interval(SAMPLE_INTERVAL);
     samples.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let own = hash::digest64(gateway.settings.vm.as_str().as_bytes());
     let (mut last, mut meter) = (Instant::now(), Meter::open());
     loop {
         samples.tick().await;
@@ -27,7 +25,10 @@
         let processor = meter.sample();
         let percent = (processor * 100.0) as i64;
         gateway.metrics.processor_percent.set(percent);
-        let neighbours = gateway.peers.lock().near(own);
+        if !gateway.settings.crowding {
+            continue;
+        }
+        let neighbours = gateway.peers.lock().near();
         let usage = Usage { processor, link };
         gateway.crowd.observe(usage, meter.elapsed(), neighbours);
     }
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod catalog;
+mod crowd;
 mod drain;
 mod facts;
 mod feeds;
--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -62,6 +62,10 @@
 /// The time for which unused admissions are kept.
 const BURST: Duration = Duration::from_millis(300);
 
+/// The time between two observations above which the process has stood still, as its VM does for a while:
+/// that tells nothing of what its requests use.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
 /// The gain per second with which averages follow what is measured.
 const GAIN: f64 = 3.0;
 
@@ -181,6 +185,10 @@
         if seconds <= 0.0 {
             return None;
         }
+        if elapsed > STANDSTILL {
+            (self.admitted, self.arrived) = (0, 0);
+            return None;
+        }
         let gain = (GAIN * seconds).min(1.0);
         self.busy += (usage.most() - self.busy) * gain;
         let rate = |count: &mut u32| f64::from(std::mem::take(count)) / seconds;
