--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -18,6 +18,7 @@
 mod home;
 mod message;
 mod plan;
+mod reservation;
 mod returns;
 pub(crate) mod rows;
 pub mod settlement;
@@ -45,6 +46,7 @@
 use effects::{Effects, Waiter};
 use home::DedupCache;
 pub use message::{Ask, Gift, Held, Message, Return};
+pub use reservation::Reservation;
 use returns::Returns;
 pub use returns::{Holdings, SHUTDOWN_TIMEOUT};
 use settlement::Settlement;
@@ -466,48 +468,3 @@
         self.budget.apply(effects);
     }
 }
-
-/// Tokens of a team that are reserved for one request, and settled when this is dropped.
-#[derive(Debug)]
-pub struct Reservation {
-    budget: Weak<Budget>,
-    team: TeamId,
-    reserved: Tokens,
-    consumed: Tokens,
-}
-
-impl Reservation {
-    /// Adds to the tokens that will be settled as consumed.
-    pub fn consume(&mut self, tokens: Tokens) {
-        self.consumed = self.consumed.saturating_add(tokens);
-    }
-
-    /// Returns the number of tokens consumed so far.
-    pub fn consumed(&self) -> Tokens {
-        self.consumed
-    }
-
-    /// Returns the number of tokens that are reserved.
-    pub fn reserved(&self) -> Tokens {
-        self.reserved
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        let Some(budget) = self.budget.upgrade() else {
-            return;
-        };
-        let mut effects = Effects::default();
-        {
-            let mut state = budget.state.lock();
-            let balance = state.escrow.balance(&self.team);
-            balance.settle(self.reserved, self.consumed);
-            let known = state.teams.get(&self.team);
-            if known.is_some_and(|t| !t.waiting.is_empty() || !t.questions.is_empty()) {
-                budget.serve(&mut state, &self.team, &mut effects);
-            }
-        }
-        budget.apply(effects);
-    }
-}
