drain: assume the balancer gone before its time is over, not after

A stream that is sent 3 s after the signal was judged as if the balancer might still send, if the process had handled the signal a little late: it was taken because it would probably end, with 4 s left and a deadline of 12 or 15 s.

Cause: the time after which the balancer is assumed to send nothing more was three eighths of the grace period, all that the balancer has, but the process counts it from when it handles the signal. A busy process handles it late by as long as its tasks keep the processor; three failed checks come no earlier if the first check after the signal was still answered with 200.

Change: 0.35 of the grace period, 2.8 s of 8 s. A balancer that checks each second has had two failures 2 s after the signal, so 0.8 s are left for late checks. Between 2.8 and 3 s streams whose deadline lies after the end are refused, which may cost a caller a retry.

Evidence: removal_is_assumed_in_time_after_a_late_signal failed before (Pending 2.85 s after the start of the stop) and passes.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -16,8 +16,9 @@
 /// The number of failed readiness checks after which a balancer is assumed to send no more requests.
 const REMOVAL_CHECKS: u32 = 3;
 
-/// The fraction of the grace period after which this is assumed however rarely it checks.
-const REMOVAL_FRACTION: f64 = 0.375;
+/// The fraction of the grace period after which this is assumed however rarely it checks. A busy process
+/// handles the signal late, so it is less than the time that a balancer has, three eighths.
+const REMOVAL_FRACTION: f64 = 0.35;
 
 /// The number of its intervals after which a balancer that has not checked again is gone.
 const CHECKER_INTERVALS: u32 = 3;
--- a/crates/gateway/tests/suite/drain.rs
+++ b/crates/gateway/tests/suite/drain.rs
@@ -15,6 +15,9 @@
 /// When no more request is taken, after the start of a stop.
 const END: Duration = Duration::from_millis(7100);
 
+/// The time after the signal at which a busy process handles it.
+const LATENESS: Duration = Duration::from_millis(150);
+
 fn checker(number: u8) -> IpAddr {
     IpAddr::from([10, 0, 0, number])
 }
@@ -86,6 +89,15 @@
     assert_eq!(drain.is_removed(), Some(false));
 }
 
+/// Guards against a process that handles its signal late and takes a stream that it must cut, at a time at
+/// which nothing more should reach it.
+#[tokio::test(start_paused = true)]
+async fn removal_is_assumed_in_time_after_a_late_signal() {
+    let drain = stopping(0).await;
+    advance(GRACE.mul_f64(0.375) - LATENESS).await;
+    assert_eq!(drain.removal(), Removal::Assumed);
+}
+
 /// Returns a stopping process that has long served short requests of a route, and that the balancer has left.
 async fn experienced(route: &Route) -> Drain {
     let drain = Drain::default();
