--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod large_fleet;
 mod logs;
 mod mesh;
+mod metrics;
 mod odd_rows;
 mod origins;
 mod reload;
