router: end an answer that names its usage twice

Callers saw: an engine that names the usage in each of its events, without end, makes the router of the own pipeline keep all of them until the time-out of the request (two minutes by default), and the process grows until it is killed. Cause: the events that end an answer are held back until the bill is stored, and each event with a usage counted as such a one, without a limit. Change: a second one fails the attempt, as other bytes that are no answer do.

--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -102,6 +102,10 @@
             return Outcome::Complete;
         }
         if let Some(usage) = parse_usage(&data) {
+            // What is held back must end.
+            if !progress.final_events.is_empty() {
+                return Outcome::Failed(Failure::MidAnswer);
+            }
             progress.usage = Some(usage);
             progress.final_events.push(data);
             continue;
--- a/crates/router/tests/suite/process_floods.rs
+++ b/crates/router/tests/suite/process_floods.rs
@@ -4,6 +4,7 @@
 use fescue_site::process::peak_memory;
 use fescue_standin::caller::Request;
 use futures_util::future::join_all;
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -141,3 +142,29 @@
     assert!(delivered <= 5, "{delivered} events");
     assert!(!answer.contains("[DONE]"), "{answer}");
 }
+
+/// Guards against events that are held back to the end of an answer that has none: a router kept all of those
+/// that named a usage, without a limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_without_end_is_not_kept() {
+    // Also a router that reads on until the time-out answers its callers in time.
+    let changes = json!({"limits": {"request_ms": 20000}});
+    let site = Site::start_with(&["dakar-1"], 1, QUICK, changes).await;
+    let upstream = FloodUpstream::spawn_except(Flood::Usage, "/v1/load", LOAD).await;
+    let upstream = upstream.expect("an upstream");
+    // How long a request waits for an upstream that hasn't failed it.
+    let rules = rules_with(&site, upstream.address).replace("target=20s", "target=1s");
+    let version = site.apply_rules("usage", &rules).await;
+    site.wait_for_version(version).await;
+    let asks = (0..FLOODED).map(|number| {
+        let id = format!("usage-{number}");
+        site.spawn_ask(0, &chat(&id, "lot", 5))
+    });
+    for answer in join_all(asks).await {
+        let answer = answer.expect("a caller");
+        assert!(answer.is_none_or(|answer| !answer.is_complete()));
+    }
+    eventually("connections are closed", || async { upstream.open() == 0 }).await;
+    let peak = peak_memory(site.routers[0].id()).expect("a running process");
+    assert!(peak <= SMALLEST_VM_MEMORY, "{peak} bytes");
+}
