gateway: bound the memory of all request bodies and unread answers

Callers saw: nothing yet. With 512 requests to upstreams that send slowly and without end, three quarters of them with bodies of 8 KB to 1 MB, beside 24 sound answers of 3 MB whose callers read late, a process took 260,325,376 bytes; VMs have 160 MB, and the process is killed beyond that, with all its requests. Cause: the limit over all whole answers counted one only until it had arrived, not until its caller had read it; request bodies, which are kept for further attempts, had a limit for each (1 MB) but none for all of them. Change: an answer counts until the last use of its bytes. Request bodies count in the same way against a limit of their own, 32 MB beyond the first 16 KB of each; beyond it a request is refused as not run, with 429 and a short wait, once the rest of its body has been read and dropped. Before: gateway_memory_is_bounded_over_all_requests failed with that peak. After: it passes, with 107,675,648 bytes in a run in which all 512 bodies were 256 KB (285,003,776 before, same form of the test). Conclusion: the bound is the memory of the smallest VM, by the process's VmHWM. Still outside of it: the first 64 KB of each answer and 16 KB of each request, the read buffers of connections (64 KB each), and events on their way to slow callers.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,14 @@
 /// time within which a leaving upstream must get no new work.
 const MAX_SYNC_AGE: Duration = Duration::from_millis(1800);
 
+/// The part of each response body that doesn't count against the limit on all of them, and that limit.
+const ORDINARY_RESPONSE_BYTES: usize = 64 << 10;
+const RESPONSE_BYTES: usize = 16 << 20;
+
+/// The same of request bodies.
+const ORDINARY_REQUEST_BYTES: usize = 16 << 10;
+const REQUEST_BYTES: usize = 32 << 20;
+
 /// The shared state of one gateway process.
 pub struct Gateway {
     /// The settings as read at the start; [`Gateway::tuning`] has those that may change.
@@ -59,8 +67,10 @@
     pub table: Arc<dyn Table>,
     /// The metrics that `/metrics` serves.
     pub metrics: Arc<Metrics>,
-    /// The memory for response bodies that are read whole.
+    /// The memory for response bodies that are read whole, until their callers have read them.
     pub buffers: Buffers,
+    /// The memory for request bodies, which are kept for further attempts.
+    pub request_buffers: Buffers,
     /// The upstreams that requests may be sent to.
     pub servers: Mutex<Servers>,
     /// The tokens of each team that this router may spend.
@@ -133,7 +143,8 @@
             codec,
             table,
             metrics,
-            buffers: Buffers::default(),
+            buffers: Buffers::open(ORDINARY_RESPONSE_BYTES, RESPONSE_BYTES),
+            request_buffers: Buffers::open(ORDINARY_REQUEST_BYTES, REQUEST_BYTES),
             servers: Mutex::default(),
             budget,
             courier,
--- a/crates/gateway/src/job/answer.rs
+++ b/crates/gateway/src/job/answer.rs
@@ -9,6 +9,9 @@
 use super::{Job, Limit};
 use crate::upstreams::Server;
 
+/// The largest response body that is read whole; a larger one fails the attempt.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
 impl Job {
     /// Reads the rest of an answer.
     ///
@@ -17,8 +20,12 @@
     /// [`Failure::Broke`] or [`Failure::TimedOut`] if it is incomplete; no part of it is passed on.
     pub async fn read_body(&mut self, body: Incoming, limit: Limit) -> Result<Bytes, Failure> {
         let gateway = Arc::clone(&self.gateway);
-        match self.wait(limit, gateway.buffers.collect(body)).await {
-            Ok(Ok(body)) => Ok(body),
+        match self
+            .wait(limit, gateway.buffers.collect(body, MAX_BODY_BYTES))
+            .await
+        {
+            // A caller that reads slowly holds the body for longer than the upstream took.
+            Ok(Ok((body, share))) => Ok(share.keep(body)),
             Ok(Err(error)) => {
                 tracing::info!(
                     request = self.call.id,
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -158,7 +158,7 @@
     };
     let body = tokio::select! {
         biased;
-        body = read_body(&head, body, &catalog, &call, arrival) => body?,
+        body = read_body(gateway, &head, body, &catalog, &call, arrival) => body?,
         () = gateway.drain.closed() => {
             let message = "the router stops and the body has not arrived";
             return Err(refuse_stopping(message));
@@ -267,8 +267,9 @@
     while let Ok(Some(Ok(_))) = timeout_at(until, body.frame()).await {}
 }
 
-/// Reads the whole body, within the limits on its size and the time that it takes.
+/// Reads the whole body, within the limits on its size, the memory of all bodies and the time that it takes.
 async fn read_body(
+    gateway: &Gateway,
     head: &Parts,
     mut body: Incoming,
     catalog: &Catalog,
@@ -293,12 +294,13 @@
             .unwrap_or(BODY_READ_TIMEOUT)
             .min(BODY_READ_TIMEOUT);
     let mut bytes = BytesMut::with_capacity((announced as usize).min(MAX_INITIAL_BODY_BYTES));
+    let mut share = gateway.request_buffers.share();
     loop {
         let frame = timeout_at(until, body.frame()).await;
         let frame = frame
             .map_err(|_| Refusal::not_run(Reason::SlowCaller, "the body did not arrive in time"))?;
         match frame {
-            None => return Ok(bytes.freeze()),
+            None => return Ok(share.keep(bytes.freeze())),
             Some(Err(error)) => {
                 let message = format!("the body can't be read: {error}");
                 return Err(Refusal::not_run(Reason::BadRequest, message));
@@ -310,6 +312,13 @@
                 if bytes.len() + data.len() > limits.body_bytes {
                     return Err(too_large());
                 }
+                if !share.grow(bytes.len() + data.len()) {
+                    drop((bytes, share));
+                    drain_body(body, until).await;
+                    let message = "the bodies of open requests take too much memory";
+                    return Err(Refusal::not_run(Reason::Overload, message)
+                        .with_retry_after(RETRY_AFTER_LINK_FULL));
+                }
                 bytes.extend_from_slice(&data);
             }
         }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod gateway_heads;
 mod gateway_leaving;
 mod gateway_limits;
+mod gateway_memory;
 mod gateway_pauses;
 mod gateway_refusals;
 mod gateway_reloads;
