tests: show the router's log of a flooded request that goes wrong

gateway_survives_answers_without_end failed once under load and was never traced: the message named neither the request nor what the router had done with it. Change: the failure names the request and prints the router's log lines for it. Conclusion: the next failure can be traced from its output alone.

--- a/crates/router/tests/suite/gateway_floods.rs
+++ b/crates/router/tests/suite/gateway_floods.rs
@@ -33,14 +33,15 @@
             let kind = [Kind::Read, Kind::Draft, Kind::Chat][number % 3];
             let ask = site.ask(kind, &format!("{flood:?}-{number}"));
             let callers = gateway.ports.callers;
-            open.spawn(async move { send(callers, &ask).await });
+            open.spawn(async move { (send(callers, &ask).await, ask.id) });
         }
-        while let Some(seen) = open.join_next().await {
-            let seen = seen.expect("a caller");
+        while let Some(ended) = open.join_next().await {
+            let (seen, id) = ended.expect("a caller");
             let served = matches!(seen, Outcome::Served { .. });
             // The caller gives up one second after its deadline.
             let unanswered = matches!(&seen, Outcome::Broken(why) if why.contains("deadline"));
-            assert!(!served && !unanswered, "{flood:?}: {seen:?}");
+            let log = || gateway.log_lines("request", &id);
+            assert!(!served && !unanswered, "{id}: {seen:?}, {:#?}", log());
         }
         for service in [ENGINES, LEDGER] {
             let id = format!("{service}-{flood:?}");
