router: bound the memory of whole answers in the own pipeline

Callers saw: nothing yet. Beside 64 engines whose load reports never end, four engines whose answers don't, and 96 sound answers of 900 KB at once, the process took 180,129,792 bytes; VMs have 160 MB, and it is killed beyond that. Cause: each answer that is read whole had a limit (1 MB), all of them together had none, and the head of an answer could take 400 KB on each connection, which is the HTTP library's default. Change: answers count against one limit, 16 MB beyond the first 16 KB of each, until their callers have read them, as in the gateway. A head takes 64 KB at most. Before: memory_is_bounded_over_all_answers failed with that peak. After: it passes, 102,805,504 bytes, but only 16 of the 96 sound answers are served: the others find no room and are refused with 502. Conclusion: no VM ends for such upstreams. Open: the copy of an answer that waits for the store to come back isn't counted, nor are request bodies in this pipeline.

--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -16,6 +16,7 @@
 use fescue_core::outcome::Reason;
 use fescue_core::rules::Service;
 use fescue_core::{Execution, Refusal, RequestId, ServiceId, Tokens, UpstreamId, hash};
+use fescue_gateway::buffers::Share;
 use fescue_policy::ledger::Reservation;
 use fescue_policy::retry::{self, Failure};
 use fescue_store::claims::{Answer, ClaimOutcome, ClaimRow};
@@ -25,7 +26,7 @@
 use super::{Front, answer, intake};
 use crate::billing::RequestDetails;
 use crate::dispatch::{self, Job, Permit, Pool};
-use crate::upstream::{Call, collect};
+use crate::upstream::Call;
 
 /// The maximum number of attempts at one call.
 const MAX_ATTEMPTS: u32 = 3;
@@ -98,11 +99,24 @@
     })
 }
 
-fn respond(id: &RequestId, stored: Answer) -> Response {
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
-    let kind = HeaderValue::from_str(&stored.content_type);
+/// An answer, whose share of the memory for answers is held until its caller has read it.
+struct Kept {
+    answer: Answer,
+    /// `None` if it comes from an earlier claim.
+    share: Option<Share>,
+}
+
+fn respond(id: &RequestId, kept: Kept) -> Response {
+    let Kept { answer, share } = kept;
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let kind = HeaderValue::from_str(&answer.content_type);
     let kind = kind.unwrap_or(HeaderValue::from_static("application/octet-stream"));
-    let mut response = (status, stored.body).into_response();
+    let body = Bytes::from(answer.body);
+    let body = match share {
+        Some(share) => share.keep(body),
+        None => body,
+    };
+    let mut response = (status, body).into_response();
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
     answer::set_headers(&mut response, Some(id), Execution::Ran);
     response
@@ -120,7 +134,7 @@
 
 /// The combined outcome of all attempts at a call.
 enum Outcome {
-    Answered(Answer),
+    Answered(Kept),
     /// No upstream ran the call.
     NotRun(Refusal),
     /// An upstream may have run the call.
@@ -128,7 +142,7 @@
 }
 
 impl ServiceCall {
-    async fn run(self) -> Result<Answer, Refusal> {
+    async fn run(self) -> Result<Kept, Refusal> {
         let price = self.rule.price;
         if self.rule.retryable {
             self.check_id()?;
@@ -190,12 +204,12 @@
         &self,
         claim: ClaimRow,
         reservation: Reservation,
-    ) -> Result<Answer, Refusal> {
+    ) -> Result<Kept, Refusal> {
         match self.attempts(false).await {
-            Outcome::Answered(answer) => {
+            Outcome::Answered(kept) => {
                 self.bill(reservation).await;
-                self.store_answer(claim, answer.clone()).await;
-                Ok(answer)
+                self.store_answer(claim, kept.answer.clone()).await;
+                Ok(kept)
             }
             Outcome::NotRun(refusal) => {
                 self.front.board.ledger.lock().release(reservation);
@@ -210,7 +224,7 @@
         }
     }
 
-    async fn run_repeatable(&self, reservation: Reservation) -> Result<Answer, Refusal> {
+    async fn run_repeatable(&self, reservation: Reservation) -> Result<Kept, Refusal> {
         match self.attempts(true).await {
             Outcome::Answered(answer) => {
                 self.bill(reservation).await;
@@ -299,7 +313,7 @@
         board.unless_too_late(self.rule.timeout, placed).await
     }
 
-    async fn attempt(&self, permit: &Permit, attempt: u32) -> Result<Answer, Failure> {
+    async fn attempt(&self, permit: &Permit, attempt: u32) -> Result<Kept, Failure> {
         let board = &self.front.board;
         let call = Call {
             address: permit.upstream.address,
@@ -322,17 +336,19 @@
         let kind = kind.and_then(|k| k.to_str().ok()).unwrap_or_default();
         let kind = kind.to_owned();
         let lost = head::may_lack_body(reply.version(), reply.status(), reply.headers());
-        let read = tokio::time::timeout_at(deadline, collect(reply)).await;
-        let body = read.map_err(|_| Failure::TimedOut)??;
+        let read = tokio::time::timeout_at(deadline, self.front.client.collect(reply)).await;
+        let (body, share) = read.map_err(|_| Failure::TimedOut)??;
         if body.is_empty() && lost {
             return Err(Failure::Broke);
         }
         let body = String::from_utf8_lossy(&body).into_owned();
-        Ok(Answer {
+        let answer = Answer {
             status,
             content_type: kind,
             body,
-        })
+        };
+        let share = Some(share);
+        Ok(Kept { answer, share })
     }
 
     async fn bill(&self, reservation: Reservation) {
--- a/crates/router/src/front/services/claimed.rs
+++ b/crates/router/src/front/services/claimed.rs
@@ -8,7 +8,7 @@
 use fescue_store::claims::{Answer, CallId, ClaimOutcome, ClaimRow};
 use tokio::time::Instant;
 
-use super::ServiceCall;
+use super::{Kept, ServiceCall};
 
 /// The delay before a failed access to the claims table is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -102,14 +102,15 @@
         earlier: ClaimRow,
         era: Option<Era>,
         deadline: Instant,
-    ) -> Result<Answer, Refusal> {
+    ) -> Result<Kept, Refusal> {
         if earlier.body != self.fingerprint {
             return Err(self.id_reused());
         }
         let mut last = earlier;
         loop {
             if let Some(answer) = last.answer {
-                return Ok(answer);
+                let share = None;
+                return Ok(Kept { answer, share });
             }
             let board = &self.front.board;
             let alive = board.members.lock().incarnations();
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -8,7 +8,7 @@
 mod snapshot;
 mod state;
 
-pub use call::{Call, Client, Reply, collect, is_declined, named_limit, software_version};
+pub use call::{Call, Client, Reply, is_declined, named_limit, software_version};
 pub use events::Events;
 pub use handle::Handle;
 pub use load::LoadPoller;
--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -11,11 +11,12 @@
 use bytes::Bytes;
 use fescue_core::{Priority, RequestId, SoftwareVersion, VmId};
 use fescue_gateway::adapter;
+use fescue_gateway::buffers::{Buffers, Share};
 use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::retry::Failure;
 use fescue_store::head;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -33,6 +34,13 @@
 /// The size limit of a plain service's answer or a load report.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
+/// The part of each of these that doesn't count against the limit on all of them, and that limit.
+const ORDINARY_ANSWER_BYTES: usize = 16 << 10;
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// The limit on the head of an answer, and on what is read ahead of its body.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// The header in which an upstream names the requests per second that it takes from all routers.
 const LIMIT_HEADER: &str = "x-request-limit";
 
@@ -61,6 +69,8 @@
     http: legacy::Client<Connector, Full<Bytes>>,
     /// Opens a connection for each request.
     unpooled: legacy::Client<Connector, Full<Bytes>>,
+    /// The memory for answers that are read whole.
+    buffers: Arc<Buffers>,
 }
 
 /// One attempt to run a request on one upstream.
@@ -100,11 +110,16 @@
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let connector = Connector(connector);
-        let http = legacy::Client::builder(TokioExecutor::new()).build(connector.clone());
-        let unpooled = legacy::Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(0)
-            .build(connector);
-        Self { http, unpooled }
+        let mut builder = legacy::Client::builder(TokioExecutor::new());
+        builder.http1_max_buf_size(MAX_BUFFER_BYTES);
+        let http = builder.build(connector.clone());
+        let unpooled = builder.pool_max_idle_per_host(0).build(connector);
+        let buffers = Arc::new(Buffers::open(ORDINARY_ANSWER_BYTES, ANSWER_BYTES));
+        Self {
+            http,
+            unpooled,
+            buffers,
+        }
     }
 
     /// Makes one attempt and returns the answer once its headers have arrived.
@@ -161,28 +176,46 @@
     pub async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
         let uri = format!("http://{address}{path}");
         let fetched = tokio::time::timeout(REPORT_TIMEOUT, async {
-            match fetch(&self.http, &uri).await {
+            match self.fetch(&self.http, &uri).await {
                 Some(body) => Some(body),
-                None => fetch(&self.unpooled, &uri).await,
+                None => self.fetch(&self.unpooled, &uri).await,
             }
         });
         fetched.await.ok()?
     }
-}
 
-async fn fetch(http: &legacy::Client<Connector, Full<Bytes>>, uri: &str) -> Option<Bytes> {
-    let request = Request::builder().method(Method::GET).uri(uri);
-    let reply = http.request(request.body(Full::default()).ok()?).await;
-    let reply = reply.ok()?;
-    count_answer(reply.extensions());
-    if !head::is_single(&reply) {
-        tracing::warn!(
-            uri,
-            "answer's head contains the start of another; treated as lost"
-        );
-        return None;
+    async fn fetch(
+        &self,
+        http: &legacy::Client<Connector, Full<Bytes>>,
+        uri: &str,
+    ) -> Option<Bytes> {
+        let request = Request::builder().method(Method::GET).uri(uri);
+        let reply = http.request(request.body(Full::default()).ok()?).await;
+        let reply = reply.ok()?;
+        count_answer(reply.extensions());
+        if !head::is_single(&reply) {
+            tracing::warn!(
+                uri,
+                "answer's head contains the start of another; treated as lost"
+            );
+            return None;
+        }
+        let (body, share) = self.collect(reply).await.ok()?;
+        Some(share.keep(body))
+    }
+
+    /// Reads the whole body of an answer. Its share is to be held as long as the answer is.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::MidAnswer`] when the body is truncated or too large.
+    pub async fn collect(&self, reply: Reply) -> Result<(Bytes, Share), Failure> {
+        let body = self.buffers.collect(reply.into_body(), MAX_ANSWER_BYTES);
+        body.await.map_err(|error| {
+            tracing::warn!(error, "can't read the answer's body");
+            Failure::MidAnswer
+        })
     }
-    collect(reply).await.ok()
 }
 
 /// A limit on the interim responses that precede an answer. They are dropped one by one, so no limit on
@@ -210,18 +243,6 @@
     }
 }
 
-/// Reads the whole body of an answer.
-///
-/// # Errors
-///
-/// Returns [`Failure::MidAnswer`] when the body is truncated or too large.
-pub async fn collect(reply: Reply) -> Result<Bytes, Failure> {
-    let body = Limited::new(reply.into_body(), MAX_ANSWER_BYTES).collect();
-    body.await
-        .map(|b| b.to_bytes())
-        .map_err(|_| Failure::MidAnswer)
-}
-
 fn build(call: &Call<'_>) -> Option<Request<Full<Bytes>>> {
     let request = Request::builder()
         .method(Method::POST)
