--- a/crates/router/tests/suite/process_memory.rs
+++ b/crates/router/tests/suite/process_memory.rs
@@ -6,7 +6,7 @@
 use fescue_site::flood::{Flood, FloodUpstream};
 use fescue_site::process::peak_memory;
 use fescue_site::scripted::{End, RequestHead, ScriptedUpstream};
-use fescue_standin::caller::{Request, Response};
+use fescue_standin::caller::Request;
 use futures_util::future::join_all;
 use serde_json::json;
 
@@ -51,12 +51,8 @@
     text
 }
 
-fn is_refused(answer: &Response) -> bool {
-    answer.status >= 400 && !answer.outcome.is_empty()
-}
-
 /// Guards against limits that each hold for one answer while nothing bounds all of them together: load reports
-/// and answers without end, and large sound answers, took more than the memory of a small VM.
+/// and answers without end, and large sound answers, took more than the memory of a small VM, or sound answers failed for lack of room.
 #[tokio::test(flavor = "multi_thread")]
 async fn memory_is_bounded_over_all_answers() {
     let changes = json!({"limits": {"request_ms": 3000}, "platform": {"timeout_ms": 5000}});
@@ -89,14 +85,11 @@
             site.spawn_ask(0, &call.with_id(&format!("call-{number}")))
         })
         .collect();
-    let (mut served, mut refused) = (0, 0);
     for answer in join_all(calls).await {
         let answer = answer.expect("a caller").expect("an answer");
-        served += usize::from(answer.status == 200 && answer.body.len() == ANSWER_BYTES);
-        refused += usize::from(is_refused(&answer));
+        let length = answer.body.len();
+        assert_eq!((answer.status, length), (200, ANSWER_BYTES));
     }
-    assert!(served > 0, "no large answer is served");
-    assert_eq!(served + refused, CALLS);
     for answer in join_all(chats).await {
         let answer = answer.expect("a caller");
         assert!(answer.is_none_or(|answer| !answer.is_complete()));
