crowding: callers leave a router that isn't ready for its full link

Cause: a router reports that it isn't ready for two reasons: the use of processor and link (at most a quarter of a data centre), or a link that is over 0.8 full (no bound). Refusals knew only the first.

Change: policy::crowding takes over since when the router isn't ready for its link; the time until its removal and the reconnection follow from the earlier of the two.

Test: callers_leave_router_that_is_unready_for_its_link failed with `set_unready` without effect (crowding.rs:189, the last refusal kept the connection).

--- a/crates/gateway/src/crowd.rs
+++ b/crates/gateway/src/crowd.rs
@@ -41,6 +41,11 @@
         self.state.lock().awaits_removal()
     }
 
+    /// Takes over whether the router reports for another reason that it isn't ready.
+    pub fn set_unready(&self, unready: bool) {
+        self.state.lock().set_unready(unready);
+    }
+
     /// Takes over what was used since the last call.
     pub fn observe(&self, usage: Usage, elapsed: Duration, neighbours: Neighbours) {
         let mut state = self.state.lock();
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -28,6 +28,7 @@
         if !gateway.settings.crowding {
             continue;
         }
+        gateway.crowd.set_unready(gateway.link.is_busy());
         let neighbours = gateway.peers.lock().near();
         let usage = Usage { processor, link };
         gateway.crowd.observe(usage, meter.elapsed(), neighbours);
--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -157,6 +157,8 @@
     /// The time since the withdrawal; `None` while new connections are taken.
     withdrawn: Option<Duration>,
     calm: Duration,
+    /// The time since the router reports for another reason that it isn't ready.
+    unready: Option<Duration>,
     /// The limit on admitted requests per second; `None` while all are admitted.
     limit: Option<f64>,
     /// The unused admissions.
@@ -185,6 +187,7 @@
         if seconds <= 0.0 {
             return None;
         }
+        self.unready = self.unready.map(|since| since.saturating_add(elapsed));
         if elapsed > STANDSTILL {
             (self.admitted, self.arrived) = (0, 0);
             return None;
@@ -269,7 +272,18 @@
 
     /// Returns whether the balancer may not know yet that this router has withdrawn.
     pub fn awaits_removal(&self) -> bool {
-        self.withdrawn.is_none_or(|since| since < REMOVAL_TIME)
+        self.removal().is_none_or(|since| since < REMOVAL_TIME)
+    }
+
+    /// Takes over whether the router reports for another reason that it isn't ready: the balancer removes it
+    /// for that as well.
+    pub fn set_unready(&mut self, unready: bool) {
+        self.unready = unready.then(|| self.unready.unwrap_or_default());
+    }
+
+    /// Returns the time for which the router has reported that it isn't ready.
+    fn removal(&self) -> Option<Duration> {
+        self.withdrawn.max(self.unready)
     }
 
     /// Returns the average use of the resource that is nearer to its end.
@@ -317,7 +331,7 @@
     /// knows that this one has withdrawn.
     fn refusal(&self) -> Refused {
         let left = self
-            .withdrawn
+            .removal()
             .map(|since| REMOVAL_TIME.saturating_sub(since));
         Refused {
             retry_after: left.unwrap_or(BURST).max(MIN_RETRY_AFTER),
--- a/crates/policy/tests/suite/crowding.rs
+++ b/crates/policy/tests/suite/crowding.rs
@@ -164,6 +164,33 @@
     assert!(longest <= Some(Duration::from_millis(2200)), "{longest:?}");
 }
 
+/// A router that may not withdraw, as a quarter has, isn't ready for its full link, and the balancer removes
+/// it: callers leave it 2.2 s later as well. Guards against callers that stay at a router with a full link.
+#[test]
+fn callers_leave_router_that_is_unready_for_its_link() {
+    let quarter = Neighbours {
+        withdrawn: 15,
+        ..NEIGHBOURS
+    };
+    let usage = Usage {
+        processor: 0.1,
+        link: 1.0,
+    };
+    let (mut crowding, mut refused) = (Crowding::default(), Vec::new());
+    for _ in 0..40 {
+        for _ in 0..100 {
+            refused.extend(crowding.admit(Arrival { team: 1, rank: 0 }).err());
+        }
+        crowding.set_unready(true);
+        crowding.observe(usage, Duration::from_millis(100), quarter);
+    }
+    assert!(!crowding.is_withdrawn());
+    assert!(refused.first().is_some_and(|refused| !refused.reconnect));
+    assert!(refused.last().is_some_and(|refused| refused.reconnect));
+    crowding.set_unready(false);
+    assert!(crowding.awaits_removal());
+}
+
 /// Observes a tenth of a second on one of 63 routers.
 fn observe(crowding: &mut Crowding, processor: f64, link: f64) -> Option<bool> {
     let usage = Usage { processor, link };
