--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -3,13 +3,11 @@
 //! Several versions of an upstream's software may serve side by side, and what two of them write doesn't
 //! fit together. A caller whose stream broke off names the attempt that brought its first event, at any
 //! router. Each router keeps the origins of its own streams, tells one or two others at once (`lookup`),
-//! and writes those that still run to the store (`rows`). In a large fleet the routers that are told write
-//! them as well, and sooner (`segments`). A stream of unknown origin is never resumed.
+//! and writes those that still run to the store (`rows`). A stream of unknown origin is never resumed.
 //! See [docs/design/versions.md](../../../docs/design/versions.md).
 
 mod lookup;
 mod rows;
-mod segments;
 
 use std::time::Duration;
 
@@ -21,9 +19,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
-pub use lookup::{
-    Answer, BegunStream, Inquiry, Missing, answer, find, informed, receive, recorder, take_over,
-};
+pub use lookup::{Answer, BegunStream, Inquiry, Missing, answer, find, receive, take_over};
 pub use rows::run;
 
 /// The largest number of streams whose origins are kept.
@@ -103,8 +99,6 @@
     known: Mutex<IndexMap<StreamKey, Known>>,
     /// Notified when a stream begins here.
     begun: Notify,
-    /// What other routers of a large fleet told, to be written.
-    told: segments::Queue,
     inquiries: lookup::Inquiries,
     scans: rows::Scans,
 }
--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::{Incarnation, hash};
+use fescue_core::Incarnation;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -15,19 +15,12 @@
 use super::{Origin, StreamKey, rows};
 use crate::datagrams::Datagram;
 use crate::gateway::Gateway;
-use crate::peers::Home;
 
-/// The number of other routers that are told of a stream.
+/// The number of other routers that are told of a stream, and the size of the fleet from which on only one
+/// is, so that the datagrams of a large fleet stay within its limits.
 const TOLD_ROUTERS: usize = 2;
-
-/// The size of the fleet above which only one router is told, so that the datagrams of a large fleet stay
-/// within its limits, and writes what it is told to the store.
 const LARGE_FLEET: usize = 100;
 
-/// The number of routers of a large fleet that are told of streams: few enough to write often, see
-/// [`super::segments`].
-pub(super) const RECORDERS: u64 = 16;
-
 /// The number of other routers that are asked; more than are told, as routers may know different peers.
 const ASKED_ROUTERS: usize = 8;
 
@@ -45,9 +38,6 @@
     #[serde(rename = "left_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     lifetime: Duration,
-    /// Whether the receiver writes it to the store.
-    #[serde(default)]
-    record: bool,
 }
 
 /// Asks another router for the origin of a stream.
@@ -82,59 +72,25 @@
     Unavailable,
 }
 
-/// Returns whether one of a few routers is told of each stream, and writes its origin.
-pub(super) fn has_recorders(gateway: &Gateway) -> bool {
-    gateway.routers() > LARGE_FLEET
-}
-
-/// Returns what selects the recorder of a stream.
-fn recorder_selector(key: StreamKey) -> u64 {
-    hash::digest64(&(key.0 % RECORDERS).to_be_bytes())
-}
-
-/// Returns the router that records a stream of a large fleet; `None` in a small one, or if it is not known
-/// which routers there are.
-pub fn recorder(gateway: &Gateway, key: StreamKey) -> Option<Home> {
-    let selector = has_recorders(gateway).then(|| recorder_selector(key))?;
-    gateway.peers.lock().homes_of(selector)?.first().copied()
-}
-
-/// Returns the routers that may know of a stream besides the one that began it, first those that are told
-/// in a fleet of this size. One that knows another number of routers may have told others.
-pub fn informed(gateway: &Gateway, key: StreamKey) -> Vec<SocketAddr> {
-    let (recorders, told) = (recorder_selector(key), key.0);
-    let (first, second) = match has_recorders(gateway) {
-        true => (recorders, told),
-        false => (told, recorders),
-    };
-    let peers = gateway.peers.lock();
-    let mut informed = peers.select(first, ASKED_ROUTERS - TOLD_ROUTERS);
-    for peer in peers.select(second, TOLD_ROUTERS) {
-        if !informed.contains(&peer) {
-            informed.push(peer);
-        }
+fn told_routers(gateway: &Gateway) -> usize {
+    match gateway.routers() {
+        routers if routers > LARGE_FLEET => 1,
+        _ => TOLD_ROUTERS,
     }
-    informed
 }
 
-/// Tells other routers of a stream that has begun here.
+/// Tells other routers, which the key selects, of a stream that has begun here.
 pub(super) fn tell(gateway: &Gateway, key: StreamKey, origin: &Origin, lifetime: Duration) {
-    let send = |peer: SocketAddr, record: bool| {
+    let told = told_routers(gateway);
+    let peers = gateway.peers.lock().select(key.0, told);
+    for peer in peers {
+        let origin = origin.clone();
         let begun = BegunStream {
             key,
-            origin: origin.clone(),
+            origin,
             lifetime,
-            record,
         };
         gateway.courier.send(peer, Datagram::Begun(begun));
-    };
-    match recorder(gateway, key) {
-        Some(Home::Peer(recorder)) => send(recorder, true),
-        Some(Home::Own) => gateway.origins.told.push(key, origin.clone(), lifetime),
-        None => {
-            let told = informed(gateway, key).into_iter().take(TOLD_ROUTERS);
-            told.for_each(|peer| send(peer, false));
-        }
     }
 }
 
@@ -144,11 +100,7 @@
         key,
         origin,
         lifetime,
-        record,
     } = begun;
-    if record {
-        gateway.origins.told.push(key, origin.clone(), lifetime);
-    }
     gateway.origins.record(key, origin, lifetime, false);
 }
 
@@ -200,12 +152,12 @@
 
 /// Asks the routers that were told, then more; returns the first answer of one that knows the stream.
 async fn ask(gateway: &Gateway, key: StreamKey, limit: Instant) -> Option<Option<Origin>> {
-    let peers = informed(gateway, key);
+    let peers = gateway.peers.lock().select(key.0, ASKED_ROUTERS);
     let number = rand::random();
     let (sender, mut answers) = mpsc::unbounded_channel();
     gateway.origins.inquiries.0.lock().insert(number, sender);
     let _open = OpenInquiry { gateway, number };
-    let told = TOLD_ROUTERS.min(peers.len());
+    let told = told_routers(gateway).min(peers.len());
     let mut answered = HashSet::new();
     for asked in [&peers[..told], &peers[..]] {
         send(gateway, asked, Inquiry { number, key });
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -12,30 +12,26 @@
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::lookup::has_recorders;
-use super::{Origin, StreamKey, segments};
+use super::{Origin, StreamKey};
 use crate::gateway::Gateway;
 use crate::malformed::MalformedRows;
 
 /// Key prefix of the rows.
-pub(super) const PREFIX: &str = "streams/";
+const PREFIX: &str = "streams/";
 
 /// Delay of a write, in which further streams may begin that it then covers. What began later when all
 /// routers are killed can't be resumed.
-pub(super) const WRITE_DELAY: Duration = Duration::from_millis(10);
+const WRITE_DELAY: Duration = Duration::from_millis(10);
 
 /// The least interval between two writes for each router of the fleet, which bounds the writes of all
-/// routers together to 83 a second: a part of the store takes 200.
+/// routers together to 83 a second: a part of the store takes 200, and budgets are in the same one.
 const INTERVAL_PER_ROUTER: Duration = Duration::from_millis(12);
 
-/// The same for a fleet whose recorders write the origins as well.
-const INTERVAL_BESIDE_RECORDERS: Duration = Duration::from_millis(24);
-
 /// The least interval between two writes of a router that knows no others yet.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Delay of the next write after one that failed.
-pub(super) const WRITE_BACKOFF: Duration = Duration::from_millis(300);
+const WRITE_BACKOFF: Duration = Duration::from_millis(300);
 
 /// The longest time between two rounds, in which what has expired is dropped.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,17 +43,17 @@
 const FAILURE_BACKOFF: Duration = Duration::from_millis(300);
 
 /// The largest number of streams in one row, well within its size limit.
-pub(super) const MAX_ROW_STREAMS: usize = 1500;
+const MAX_ROW_STREAMS: usize = 1500;
 
-/// Time after its expiry at which a row is deleted. Each read takes longer for the rows that are left.
-const DELETE_AFTER: Duration = Duration::from_secs(2);
+/// Time after its expiry at which a row is deleted.
+const DELETE_AFTER: Duration = Duration::from_secs(10);
 
 /// The largest number of rows that one transaction deletes.
 const MAX_DELETED: usize = 50;
 
 record! {
     /// The streams of one process, grouped by origin.
-    pub(super) struct StreamRow {
+    struct StreamRow {
         /// When the last of them expires, on the store's clock.
         until_ms: u64,
         groups: Vec<Group>,
@@ -89,10 +85,6 @@
 
 /// Reads the rows of former processes, then writes this one's for as long as the process runs.
 pub async fn run(gateway: Arc<Gateway>) {
-    tokio::join!(write_own(Arc::clone(&gateway)), segments::run(gateway));
-}
-
-async fn write_own(gateway: Arc<Gateway>) {
     while let Err(error) = scan_since(&gateway, Instant::now()).await {
         tracing::info!(%error, "origins of streams not read; retrying");
         sleep(FAILURE_BACKOFF).await;
@@ -105,11 +97,7 @@
         match writer.round(&gateway).await {
             Round::Idle => {}
             Round::Written => {
-                let interval = match has_recorders(&gateway) {
-                    true => INTERVAL_BESIDE_RECORDERS,
-                    false => INTERVAL_PER_ROUTER,
-                };
-                let interval = interval * gateway.routers() as u32;
+                let interval = INTERVAL_PER_ROUTER * gateway.routers() as u32;
                 sleep(interval.max(MIN_WRITE_INTERVAL).saturating_sub(WRITE_DELAY)).await;
             }
             Round::Failed => sleep(WRITE_BACKOFF).await,
@@ -174,39 +162,32 @@
     gateway: &Gateway,
     open: &[(StreamKey, Origin, Duration)],
 ) -> Result<Commit, TableError> {
-    let row = StreamRow::new(gateway.table.clock().unwrap_or_default(), open);
-    let mut transaction = Transaction::default();
-    transaction.put.push(Put::encode(own_key(gateway), &row));
-    gateway.table.transact(&transaction).await
-}
-
-impl StreamRow {
-    /// Creates a row of streams, each with the time for which it can be resumed.
-    pub(super) fn new(clock: Duration, streams: &[(StreamKey, Origin, Duration)]) -> Self {
-        let left = streams.iter().map(|(_, _, left)| *left).max();
-        let until = clock + left.unwrap_or_default();
-        let mut row = Self {
-            until_ms: until.as_millis() as u64,
-            groups: Vec::new(),
+    let left = open.iter().map(|(_, _, left)| *left).max();
+    let clock = gateway.table.clock().unwrap_or_default();
+    let until = clock + left.unwrap_or_default();
+    let mut row = StreamRow {
+        until_ms: until.as_millis() as u64,
+        groups: Vec::new(),
+    };
+    for (key, origin, _) in open {
+        let same = |group: &&mut Group| {
+            group.service == origin.service
+                && group.version == origin.version
+                && group.weights == origin.weights
         };
-        for (key, origin, _) in streams {
-            let same = |group: &&mut Group| {
-                group.service == origin.service
-                    && group.version == origin.version
-                    && group.weights == origin.weights
-            };
-            match row.groups.iter_mut().find(same) {
-                Some(group) => group.streams.push(*key),
-                None => row.groups.push(Group {
-                    service: origin.service.clone(),
-                    version: origin.version.clone(),
-                    weights: origin.weights,
-                    streams: vec![*key],
-                }),
-            }
+        match row.groups.iter_mut().find(same) {
+            Some(group) => group.streams.push(*key),
+            None => row.groups.push(Group {
+                service: origin.service.clone(),
+                version: origin.version.clone(),
+                weights: origin.weights,
+                streams: vec![*key],
+            }),
         }
-        row
     }
+    let mut transaction = Transaction::default();
+    transaction.put.push(Put::encode(own_key(gateway), &row));
+    gateway.table.transact(&transaction).await
 }
 
 /// Reads all rows, unless a read that began at `since` or later has succeeded. The read goes on when its
@@ -276,12 +257,12 @@
 }
 
 /// Deletes rows that have expired. All routers find the same ones when they start together, so each leaves
-/// them to the others mostly: the more so, the fewer there are.
+/// them to the others mostly.
 async fn delete(gateway: &Gateway, expired: Transaction) {
-    let rows = expired.delete.len();
-    if rand::random_range(0..gateway.routers()) >= rows {
+    if expired.delete.is_empty() || rand::random_range(0..gateway.routers()) > 0 {
         return;
     }
+    let rows = expired.delete.len();
     match gateway.table.transact(&expired).await {
         Ok(deleted) => tracing::info!(rows, ?deleted, "deleted expired origins of streams"),
         Err(error) => tracing::info!(rows, %error, "expired origins of streams not deleted"),
--- a/crates/gateway/tests/suite/origins.rs
+++ b/crates/gateway/tests/suite/origins.rs
@@ -1,16 +1,14 @@
 //! Which upstream version began a stream: how routers remember it, and where a stream goes on.
 
-use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::{Incarnation, TeamId};
+use fescue_core::TeamId;
 use fescue_gateway::gateway::Gateway;
 use fescue_gateway::gossip;
 use fescue_gateway::model::Upstream;
 use fescue_gateway::origins::{self, Missing, Origin, StreamKey};
-use fescue_gateway::peers::{Home, Peer};
+use fescue_gateway::peers::Peer;
 use fescue_gateway::upstreams::{Requirements, Servers};
 use fescue_standin::platform::Faults;
 use fescue_store::table::{Put, Table, Transaction, scan_all};
@@ -164,173 +162,6 @@
     assert_eq!(find(&other, "s-999").await, Ok(origin("v1")));
 }
 
-/// Tells a router of a stream that another one has begun, and that can be resumed for `seconds`.
-fn tell(gateway: &Gateway, attempt: &str, seconds: u64) {
-    let begun = serde_json::json!({
-        "key": key(attempt),
-        "origin": origin("v1"),
-        "left_ms": seconds * 1000,
-        "record": true,
-    });
-    let begun = serde_json::from_value(begun).expect("a stream that has begun");
-    origins::take_over(gateway, begun);
-}
-
-/// Returns a peer of the address that a number stands for.
-fn peer(number: u16) -> Peer {
-    let address = SocketAddr::from(([127, 0, 0, 1], number));
-    Peer::new(&format!("vm-{number}"), address, Incarnation::new(1))
-}
-
-/// Guards against streams of a large fleet that nobody can resume after all routers were killed: each router
-/// of 295 writes its own row only each few seconds.
-#[tokio::test(start_paused = true)]
-async fn find_after_all_routers_of_a_large_fleet_were_killed() {
-    let store = Store::open(1);
-    let told = start("vm-1", &store);
-    told.set_routers(295);
-    sleep(Duration::from_millis(10)).await;
-    let before = store.memory.usage().writes;
-    for number in 0..300 {
-        tell(&told, &format!("s-{number}"), 10);
-        sleep(Duration::from_millis(10)).await;
-    }
-    let writes = store.memory.usage().writes - before;
-    assert!(writes <= 11, "{writes} writes in 3 s");
-    let after = gateway("vm-2", &store);
-    // The last half a second may be missing.
-    for number in 0..250 {
-        let found = find(&after, &format!("s-{number}")).await;
-        assert_eq!(found, Ok(origin("v1")), "stream {number}");
-    }
-}
-
-/// Guards against rows of a large fleet's streams that pile up.
-#[tokio::test(start_paused = true)]
-async fn segments_expire() {
-    let store = Store::open(1);
-    let told = start("vm-1", &store);
-    told.set_routers(295);
-    sleep(Duration::from_millis(10)).await;
-    for number in 0..100 {
-        tell(&told, &format!("s-{number}"), 5);
-        sleep(Duration::from_millis(100)).await;
-    }
-    let live = rows(&store).await;
-    assert!((10..=20).contains(&live), "{live} segments of the last 5 s");
-    sleep(Duration::from_secs(10)).await;
-    assert_eq!(rows(&store).await, 0);
-}
-
-/// Guards against streams that a busy recorder forgets while the store is away for a while.
-#[tokio::test(start_paused = true)]
-async fn segments_are_written_after_an_outage() {
-    let store = Store::open(1);
-    let told = start("vm-1", &store);
-    told.set_routers(295);
-    sleep(Duration::from_millis(10)).await;
-    let outage = Faults {
-        outage: true,
-        ..Faults::default()
-    };
-    store.memory.set_faults(outage);
-    tell(&told, "a", 10);
-    sleep(Duration::from_secs(2)).await;
-    store.memory.set_faults(Faults::default());
-    sleep(Duration::from_secs(1)).await;
-    let after = gateway("vm-2", &store);
-    assert_eq!(find(&after, "a").await, Ok(origin("v1")));
-}
-
-/// Guards against segments that are kept as long as the one before them that lasts longest.
-#[tokio::test(start_paused = true)]
-async fn segments_expire_behind_a_longer_one() {
-    let store = Store::open(1);
-    let told = start("vm-1", &store);
-    told.set_routers(295);
-    sleep(Duration::from_millis(10)).await;
-    tell(&told, "long", 60);
-    for number in 0..100 {
-        sleep(Duration::from_millis(100)).await;
-        tell(&told, &format!("s-{number}"), 2);
-    }
-    sleep(Duration::from_secs(6)).await;
-    assert_eq!(rows(&store).await, 1, "the long one");
-}
-
-/// Guards against a stream that is resumed at one version because the router that knew of two was killed: the
-/// second one was told while the first was being written.
-#[tokio::test(start_paused = true)]
-async fn segments_keep_an_ambiguous_key() {
-    let store = Store::open(1);
-    let told = start("vm-1", &store);
-    told.set_routers(295);
-    sleep(Duration::from_millis(10)).await;
-    let slow = Faults {
-        delay_ms: 100,
-        ..Faults::default()
-    };
-    store.memory.set_faults(slow);
-    tell(&told, "a", 10);
-    sleep(Duration::from_millis(50)).await;
-    let other = serde_json::json!({
-        "key": key("a"),
-        "origin": origin("v2"),
-        "left_ms": 10_000,
-        "record": true,
-    });
-    let other = serde_json::from_value(other).expect("a stream that has begun");
-    origins::take_over(&told, other);
-    sleep(Duration::from_secs(2)).await;
-    let after = gateway("vm-2", &store);
-    assert_eq!(find(&after, "a").await, Err(Missing::Ambiguous));
-}
-
-/// Guards against a large fleet that has so many recorders that none of them can write often: also a router
-/// that would be one itself must not select another.
-#[tokio::test(start_paused = true)]
-async fn recorders_of_a_large_fleet_are_few() {
-    let store = Store::open(1);
-    let mut recorders = HashSet::new();
-    for own in 0..295_u16 {
-        let gateway = gateway(&format!("vm-{own}"), &store);
-        let others = (0..295).filter(|number| *number != own);
-        gateway.peers.lock().set(others.map(peer).collect(), true);
-        assert_eq!(
-            origins::recorder(&gateway, key("s-0")),
-            None,
-            "unknown size"
-        );
-        gateway.set_routers(295);
-        for number in 0..64 {
-            let recorder = origins::recorder(&gateway, key(&format!("s-{number}")));
-            recorders.insert(match recorder.expect("a recorder") {
-                Home::Own => peer(own).address,
-                Home::Peer(address) => address,
-            });
-        }
-    }
-    assert!(recorders.len() <= 16, "{} recorders", recorders.len());
-}
-
-/// Guards against streams that nobody finds because the fleet grew past the size from which on it has
-/// recorders: those that were told under the other rule are asked as well.
-#[tokio::test(start_paused = true)]
-async fn informed_routers_hold_for_both_sizes() {
-    let store = Store::open(1);
-    let gateway = gateway("vm-0", &store);
-    gateway.peers.lock().set((1..101).map(peer).collect(), true);
-    for number in 0..64 {
-        let stream = key(&format!("s-{number}"));
-        gateway.set_routers(100);
-        let told = origins::informed(&gateway, stream)[..2].to_vec();
-        gateway.set_routers(101);
-        let asked = origins::informed(&gateway, stream);
-        assert!(told.iter().all(|router| asked.contains(router)));
-        assert!(asked.len() <= 8);
-    }
-}
-
 /// Guards against streams that are forgotten when the store comes back from an older copy, and against a
 /// row that can't be read.
 #[tokio::test(start_paused = true)]
