budget: a team without tokens isn't told that the store is away

Cause: an asker goes through the home, the backup and a third. If those that can draw say that too little is left, the one that is cut off is asked last. It can't tell what the account has, keeps the question, and says `store_down`; the asker then refuses at once as `store_down`, although the team is out of tokens.

Change: `held` has what the router holds (`left`). If its license never allows what is needed, and another router has just said what is left, the sum decides, as it does for routers that can draw. A candidate that is cut off counts what it holds itself, even if its license doesn't allow it yet.

--- a/crates/gateway/src/budget/asks.rs
+++ b/crates/gateway/src/budget/asks.rs
@@ -176,6 +176,27 @@
         better
     }
 
+    /// Takes the question to a router that can't draw and holds `left` for answered, if another router has said
+    /// how little it and the account have left: together they tell whether the team is out of tokens. Returns
+    /// whether it does.
+    pub(super) fn deny(&mut self, peer: SocketAddr, left: Option<Tokens>) -> bool {
+        let mut denials = self.denials.iter();
+        let known = denials.any(|denial| {
+            denial.home != peer && denial.left.is_some() && denial.at.elapsed() < DENIAL_TTL
+        });
+        if left.is_none() || !known {
+            return false;
+        }
+        self.current = None;
+        self.denials.retain(|denial| denial.home != peer);
+        self.denials.push(Denial {
+            home: peer,
+            at: Instant::now(),
+            left,
+        });
+        true
+    }
+
     /// Chooses the home to ask among the responsive ones.
     fn choose(&self, homes: &[SocketAddr], lack: &Lack) -> Step {
         let fresh = homes.iter().find(|home| self.denial(**home).is_none());
@@ -235,13 +256,19 @@
                 rank: need.rank,
                 target: need.target,
             };
-            match self.advance(state, team, lack, homes, effects) {
-                Some(left) => {
-                    let reach = state.escrow.balance(team).available(clock);
-                    let reach = reach.saturating_add(left);
-                    refuse(state, team, reach, left, effects);
-                }
-                None => return,
+            let own = homes.contains(&Home::Own);
+            let Some(left) = self.advance(state, team, lack, homes, effects) else {
+                return;
+            };
+            let balance = state.escrow.balance(team);
+            // What a candidate holds can't be drawn by others, and its license allows it in time.
+            let held = if own {
+                balance.unused()
+            } else {
+                balance.available(clock)
+            };
+            if !refuse(state, team, held.saturating_add(left), left, effects) {
+                return;
             }
         }
     }
@@ -407,12 +434,21 @@
 }
 
 /// Refuses the waiting requests that need more than can be had, `left` of it at other routers or in the
-/// account.
-fn refuse(state: &mut State, team: &TeamId, reach: Tokens, left: Tokens, effects: &mut Effects) {
+/// account. Returns whether there are any.
+fn refuse(
+    state: &mut State,
+    team: &TeamId,
+    reach: Tokens,
+    left: Tokens,
+    effects: &mut Effects,
+) -> bool {
     let Some(known) = state.teams.get_mut(team) else {
-        return;
+        return false;
     };
-    for waiter in known.waiting.extract(|need, _| need.tokens > reach) {
+    let refused = known.waiting.extract(|need, _| need.tokens > reach);
+    let any = !refused.is_empty();
+    for waiter in refused {
         effects.answer(waiter, Err(Shortage::Exhausted(left)));
     }
+    any
 }
--- a/crates/gateway/src/budget/home.rs
+++ b/crates/gateway/src/budget/home.rs
@@ -107,6 +107,7 @@
             from: self.incarnation,
             store_down: state.is_store_down(),
             cut_off: state.is_cut_off(),
+            left: Some(state.escrow.balance(team).unused()),
             wait_ms: wait.map(|wait| wait.as_millis() as u64),
         };
         effects.send(peer, Message::Held(held));
--- a/crates/gateway/src/budget/message.rs
+++ b/crates/gateway/src/budget/message.rs
@@ -53,6 +53,9 @@
     /// takes long. It is said earlier than `store_down`, which is a reason for refusals.
     #[serde(default)]
     pub cut_off: bool,
+    /// What the home holds, whether or not its license allows it yet; absent in messages of older routers.
+    #[serde(default)]
+    pub left: Option<Tokens>,
     /// Time until the home's license allows the needed tokens without the store, in milliseconds; `None`
     /// if it never does.
     pub wait_ms: Option<u64>,
--- a/crates/gateway/src/budget/outage.rs
+++ b/crates/gateway/src/budget/outage.rs
@@ -64,8 +64,12 @@
                 peers.homes(&held.team, own_cut_off)
             };
             let passed_over = held.cut_off && known.asks.pass_over(peer, &homes);
+            let never = held.cut_off && held.wait_ms.is_none();
+            let denied = never && !passed_over && known.asks.deny(peer, held.left);
             let wait = held.wait_ms.map(Duration::from_millis);
-            if held.store_down && passed_over {
+            if denied {
+                // The next step finds whether the team has too little left in all.
+            } else if held.store_down && passed_over {
                 self.extend_waiting(&mut state, &held.team, wait);
             } else if held.store_down {
                 let pending = Pending {
@@ -75,7 +79,7 @@
                 };
                 self.expect(&mut state, &held.team, wait, pending, &mut effects);
             }
-            if passed_over {
+            if passed_over || denied {
                 self.ask(&mut state, &held.team, &mut effects);
             }
             state.update_demand(&held.team);
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -301,6 +301,22 @@
     }
 }
 
+/// Guards against a team that is out of tokens and is told that the store is away, because one of the routers
+/// that are asked has no path to it.
+#[tokio::test(start_paused = true)]
+async fn team_without_tokens_is_told_so_by_the_others() {
+    for places in [0..1, 1..2, 1..3] {
+        let mut site = Site::start(8, ROUTERS, 1_200_000).await;
+        let spent = site.run(5 * SECOND).await;
+        assert!(spent.exhausted > 0, "{spent:?}");
+        site.cut(places, Reach::Refused);
+        sleep(2 * SECOND).await;
+        let (out, counts, _) = site.measure("out of tokens", 3 * SECOND).await;
+        assert!(out.store_down + out.pending <= out.requests / 50, "{out:?}");
+        assert!(counts.asks <= 4 * out.requests, "{counts:?}");
+    }
+}
+
 /// Routers are cut off from the store and reached again at random, in all ways. What all requests consumed
 /// never exceeds the prepaid amount, and nearly all of it can be spent in the end.
 #[tokio::test(start_paused = true)]
