gateway: say in a crowded refusal what is used up

Change: `Crowd::admit` returns the load with the refusal, and the line has `busy_percent`, `processor_percent`, `link_percent`, `limit` (requests a second) and `withdrawn`. `policy::crowding` averages each resource over the same time as `busy`; its decisions are unchanged. The stand-in can start a gateway with `crowding` on.

--- a/crates/gateway/src/crowd.rs
+++ b/crates/gateway/src/crowd.rs
@@ -3,11 +3,74 @@
 use std::time::Duration;
 
 use fescue_core::{TeamId, hash};
-use fescue_policy::crowding::{Arrival, Crowding, Neighbours, Refused, Usage};
+use fescue_policy::crowding::{Arrival, Crowding, Neighbours, Usage};
 use parking_lot::Mutex;
 use tokio::runtime::{Handle, RuntimeMetrics};
 use tokio::time::Instant;
 
+/// The load of a router, as its log lines show it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// The average use of the resource that is nearer to its end.
+    pub busy: f64,
+    /// The average part of the time for which the processor was in use.
+    pub processor: f64,
+    /// The average part of the link's capacity that was used.
+    pub link: f64,
+    /// The limit on admitted requests per second; `None` while all are admitted.
+    pub limit: Option<f64>,
+    /// Whether the balancer should send no new connections.
+    pub withdrawn: bool,
+}
+
+impl Load {
+    /// Returns the use of the resource that is nearer to its end, in percent.
+    pub fn busy_percent(&self) -> u64 {
+        percent(self.busy)
+    }
+
+    /// Returns the use of the processor, in percent.
+    pub fn processor_percent(&self) -> u64 {
+        percent(self.processor)
+    }
+
+    /// Returns the use of the link, in percent.
+    pub fn link_percent(&self) -> u64 {
+        percent(self.link)
+    }
+
+    /// Returns the limit in tenths of a request per second.
+    pub fn limit_rate(&self) -> Option<f64> {
+        self.limit.map(|limit| (limit * 10.0).round() / 10.0)
+    }
+}
+
+impl From<&Crowding> for Load {
+    fn from(state: &Crowding) -> Self {
+        let Usage { processor, link } = state.usage();
+        Self {
+            busy: state.busy(),
+            processor,
+            link,
+            limit: state.limit(),
+            withdrawn: state.is_withdrawn(),
+        }
+    }
+}
+
+fn percent(part: f64) -> u64 {
+    (part * 100.0).round() as u64
+}
+
+/// A request that is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Crowded {
+    /// The time after which another router may get it.
+    pub retry_after: Duration,
+    /// The load that was the reason.
+    pub load: Load,
+}
+
 /// The use of processor and link by this router, and what follows from it.
 #[derive(Debug, Default)]
 pub struct Crowd {
@@ -19,10 +82,16 @@
     ///
     /// # Errors
     ///
-    /// What its caller is told if it isn't.
-    pub fn admit(&self, team: Option<&TeamId>, rank: u8) -> Result<(), Refused> {
+    /// What its caller is told if it isn't, and why.
+    pub fn admit(&self, team: Option<&TeamId>, rank: u8) -> Result<(), Crowded> {
         let team = team.map_or(0, |team| hash::digest64(team.as_str().as_bytes()));
-        self.state.lock().admit(Arrival { team, rank })
+        let mut state = self.state.lock();
+        state
+            .admit(Arrival { team, rank })
+            .map_err(|refused| Crowded {
+                retry_after: refused.retry_after,
+                load: Load::from(&*state),
+            })
     }
 
     /// Returns the average use of the resource that is nearer to its end.
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -157,10 +157,11 @@
             "the router stops before the request could end",
         ));
     }
-    if let Err(refused) = gateway.crowd.admit(name.as_ref(), rank) {
+    if let Err(crowded) = gateway.crowd.admit(name.as_ref(), rank) {
+        known.load = Some(crowded.load);
         let message = "the router's processor or link is nearly used up";
         return Err(
-            Refusal::not_run(Reason::Crowded, message).with_retry_after(refused.retry_after)
+            Refusal::not_run(Reason::Crowded, message).with_retry_after(crowded.retry_after)
         );
     }
     if gateway.is_isolated() {
--- a/crates/gateway/src/pipeline/log.rs
+++ b/crates/gateway/src/pipeline/log.rs
@@ -5,6 +5,7 @@
 use fescue_core::{Refusal, ServiceId, TeamId};
 use tokio::time::Instant;
 
+use crate::crowd::Load;
 use crate::gateway::Gateway;
 use crate::model::Route;
 
@@ -19,6 +20,8 @@
     pub service: Option<ServiceId>,
     /// Its rank; zero is the most urgent.
     pub rank: Option<u8>,
+    /// The router's load, if that was the reason to refuse it.
+    pub load: Option<Load>,
 }
 
 impl Known {
@@ -71,6 +74,7 @@
     pub fn refuse(&self, refusal: &Refusal) {
         let (status, reason) = (refusal.reason.status(), refusal.reason.code());
         self.gateway.metrics.count_request(status, reason);
+        let load = self.known.load.as_ref();
         tracing::info!(
             request = self.id,
             status,
@@ -82,6 +86,11 @@
             execution = refusal.execution.as_str(),
             retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64),
             ms = self.elapsed_ms(),
+            busy_percent = load.map(Load::busy_percent),
+            processor_percent = load.map(Load::processor_percent),
+            link_percent = load.map(Load::link_percent),
+            limit = load.and_then(Load::limit_rate),
+            withdrawn = load.map(|load| load.withdrawn),
             detail = refusal.message,
             "refused"
         );
--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -107,7 +107,7 @@
 }
 
 /// What a router used of its VM since the last observation.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Usage {
     /// The part of the time for which the processor was in use.
     pub processor: f64,
@@ -151,6 +151,8 @@
 pub struct Crowding {
     /// The average use of the resource that is nearer to its end.
     busy: f64,
+    /// The average use of each resource.
+    usage: Usage,
     /// Slower averages of the use and of the admitted requests per second.
     cost_use: f64,
     cost_rate: f64,
@@ -191,6 +193,8 @@
         }
         let gain = (GAIN * seconds).min(1.0);
         self.busy += (usage.most() - self.busy) * gain;
+        self.usage.processor += (usage.processor - self.usage.processor) * gain;
+        self.usage.link += (usage.link - self.usage.link) * gain;
         let rate = |count: &mut u32| f64::from(std::mem::take(count)) / seconds;
         let admitted = rate(&mut self.admitted);
         self.admitted_rate += (admitted - self.admitted_rate) * gain;
@@ -277,6 +281,11 @@
         self.busy
     }
 
+    /// Returns the average use of each resource, over the same time as [`Self::busy`].
+    pub fn usage(&self) -> Usage {
+        self.usage
+    }
+
     /// Returns the limit on admitted requests per second; `None` while all are admitted.
     pub fn limit(&self) -> Option<f64> {
         self.limit
--- a/crates/router/tests/suite/gateway_lines.rs
+++ b/crates/router/tests/suite/gateway_lines.rs
@@ -17,6 +17,15 @@
 /// Tokens that are enough for every test.
 const AMPLE: u64 = 1_000_000;
 
+/// The fields that only lines of crowded routers have.
+const LOAD_FIELDS: [&str; 5] = [
+    "busy_percent",
+    "processor_percent",
+    "link_percent",
+    "limit",
+    "withdrawn",
+];
+
 /// Waits for the line of a request with this message.
 async fn line(gateway: &Gateway, id: &str, message: &str) -> Value {
     let until = Instant::now() + READY_TIMEOUT;
@@ -53,6 +62,8 @@
         names(&line),
         [&json!("yard"), &json!("chat"), &json!(ENGINES), &json!(0)]
     );
+    let load = LOAD_FIELDS.map(|field| &line[field]);
+    assert!(load.iter().all(|value| value.is_null()), "{line}");
 }
 
 /// The same while the store is away, for tokens that can't be drawn.
@@ -89,6 +100,46 @@
     );
 }
 
+/// Guards against lines of a crowded router that tell neither whose requests it refuses nor what is used up.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_says_what_crowds_it() {
+    let site = Site::open("lines-crowded", AMPLE).await;
+    let gateway = site.spawn_with("vm-1", true);
+    assert!(gateway.await_ready(READY_TIMEOUT).await);
+    let path = site.folder.join("vm-1.json");
+    let text = std::fs::read_to_string(&path).expect("settings");
+    let mut settings: Value = serde_json::from_str(&text).expect("settings");
+    settings["link_mbps"] = json!(0.001);
+    std::fs::write(&path, settings.to_string()).expect("written");
+    gateway.signal(rustix::process::Signal::HUP);
+    let mut crowded = None;
+    for number in 0..2_000 {
+        let ask = site.ask(Kind::Read, &format!("crowd-{number}"));
+        let seen = send(gateway.ports.callers, &ask).await;
+        if status(&seen) == Some(429) {
+            crowded = Some(line(&gateway, &ask.id, "refused").await);
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    let line = crowded.expect("a crowded gateway");
+    assert_eq!(line["reason"], "crowded");
+    assert_eq!(
+        names(&line),
+        [&json!("yard"), &json!("read"), &json!(LEDGER), &json!(0)]
+    );
+    let percent = |field: &str| line[field].as_u64().expect(field);
+    // The link is the cause: it is offered a multiple of what it carries.
+    assert!(percent("link_percent") > 100, "{line}");
+    assert!(
+        percent("processor_percent") < percent("link_percent"),
+        "{line}"
+    );
+    assert!(percent("busy_percent") > 0, "{line}");
+    assert!(line["limit"].as_f64().is_some_and(|l| l > 0.0), "{line}");
+    assert_eq!(line["withdrawn"], json!(false), "no other router is there");
+}
+
 /// Guards against lines that name a team, a route or a service that isn't known, or leave out what is.
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_names_what_is_known_of_a_strange_request() {
--- a/crates/router/tests/suite/gateway_site.rs
+++ b/crates/router/tests/suite/gateway_site.rs
@@ -80,6 +80,11 @@
     }
 
     pub fn spawn(&self, vm: &str) -> Gateway {
+        self.spawn_with(vm, false)
+    }
+
+    /// Starts a gateway that may refuse requests when it is crowded.
+    pub fn spawn_with(&self, vm: &str, crowding: bool) -> Gateway {
         let start = GatewayOptions {
             program: Path::new(env!("CARGO_BIN_EXE_fescuedrift")),
             wrapper: &[],
@@ -87,6 +92,7 @@
             vm,
             store: self.store.address,
             ports: Ports::allocate().expect("ports"),
+            crowding,
         };
         Gateway::spawn(&start).expect("a gateway")
     }
