router: name team and model or service of refused requests

Cause: the `refused` line of the router's own pipeline had the request's id, but neither team nor priority, model or service, as at the gateway.

Change: the steps of admission fill in a `Known`, from which `answer::refuse` writes `team`, `priority`, `model` and `service`; absent where not known. It replaces the pair of id and refusal that `admit` returned. Statuses, codes and headers are the same.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -27,6 +27,7 @@
 use crate::billing::Biller;
 use crate::blackboard::Board;
 use crate::upstream::{Client, Handle, named_limit};
+use answer::Known;
 use fescue_policy::rate_limit::Statement;
 use fescue_policy::retry::RetryBudget;
 
@@ -90,7 +91,7 @@
 
 async fn models(State(front): State<Arc<Front>>, headers: HeaderMap) -> Response {
     if let Err(refusal) = caller::team(&front.board, &headers) {
-        return answer::refuse(&front.board, None, refusal);
+        return answer::refuse(&front.board, &Known::default(), refusal);
     }
     let book = front.board.book();
     let upstreams = book.upstreams.values();
@@ -107,5 +108,5 @@
 async fn not_found(State(front): State<Arc<Front>>, request: Request<Body>) -> Response {
     let message = format!("there is no {} {}", request.method(), request.uri().path());
     let refusal = Refusal::not_run(Reason::NotFound, message);
-    answer::refuse(&front.board, None, refusal)
+    answer::refuse(&front.board, &Known::default(), refusal)
 }
--- a/crates/router/src/front/answer.rs
+++ b/crates/router/src/front/answer.rs
@@ -6,7 +6,7 @@
 use axum::http::{HeaderName, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use fescue_core::outcome::Reason;
-use fescue_core::{Execution, Refusal, RequestId};
+use fescue_core::{Execution, ModelId, Priority, Refusal, RequestId, ServiceId, TeamId};
 use serde_json::{Value, json};
 
 use crate::blackboard::Board;
@@ -25,13 +25,28 @@
     Refusal::not_run(Reason::NoUpstream, message).with_retry_after(RETRY_AFTER)
 }
 
+/// What is known of a request so far; the steps of its admission fill it in.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Known {
+    pub(super) request: Option<RequestId>,
+    pub(super) team: Option<TeamId>,
+    pub(super) priority: Option<Priority>,
+    pub(super) model: Option<ModelId>,
+    pub(super) service: Option<ServiceId>,
+}
+
 /// Builds the response for a refusal, logs it and counts it.
-pub(super) fn refuse(board: &Board, request: Option<&RequestId>, refusal: Refusal) -> Response {
+pub(super) fn refuse(board: &Board, known: &Known, refusal: Refusal) -> Response {
+    let request = known.request.as_ref();
     board.metrics.count_refusal(refusal.reason);
     tracing::info!(
         target: "decision",
         request = request.map(RequestId::as_str),
         reason = refusal.reason.code(),
+        team = known.team.as_ref().map(TeamId::as_str),
+        priority = known.priority.map(Priority::as_str),
+        model = known.model.as_ref().map(ModelId::as_str),
+        service = known.service.as_ref().map(ServiceId::as_str),
         outcome = refusal.execution.as_str(),
         detail = refusal.message,
         "refused"
--- a/crates/router/src/front/caller.rs
+++ b/crates/router/src/front/caller.rs
@@ -6,6 +6,7 @@
 use fescue_core::rules::Team;
 use fescue_core::{BudgetId, Priority, Refusal, RequestId};
 
+use super::answer::Known;
 use crate::blackboard::Board;
 use crate::lifecycle::Phase;
 
@@ -29,21 +30,28 @@
 }
 
 impl Caller {
-    /// Authenticates the team and reads the other headers.
+    /// Authenticates the team and reads the other headers. What they say is noted in `known`.
     ///
     /// # Errors
     ///
     /// Returns a refusal when the key is unknown, a header is invalid, or the team may not use what it
     /// asks for.
-    pub(super) fn read(board: &Board, headers: &HeaderMap) -> Result<Self, Refusal> {
+    pub(super) fn read(
+        board: &Board,
+        headers: &HeaderMap,
+        known: &mut Known,
+    ) -> Result<Self, Refusal> {
         let team = team(board, headers)?;
+        known.team = Some(team.name.clone());
         let priority = priority(&team, headers)?;
+        known.priority = Some(priority);
         let budget = budget(board, &team, headers)?;
         let key = text(headers, KEY)?;
         let request = match key {
             Some(key) => key.parse().map_err(bad_request)?,
             None => new_id(board)?,
         };
+        known.request = Some(request.clone());
         Ok(Self {
             team,
             budget,
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::answer::Known;
 use super::caller::Caller;
 use super::intake::{self, ChatRequest};
 use super::pace::PaceMeter;
@@ -42,11 +43,11 @@
     let (parts, body) = request.into_parts();
     let arrived = front.board.now();
     let running = front.board.start_request();
-    let (caller, chat, reservation) = match admit(&front, &parts.headers, body).await {
+    let mut known = Known::default();
+    let admitted = admit(&front, &parts.headers, body, &mut known).await;
+    let (caller, chat, reservation) = match admitted {
         Ok(admitted) => admitted,
-        Err((request, refusal)) => {
-            return answer::refuse(&front.board, request.as_ref(), *refusal);
-        }
+        Err(refusal) => return answer::refuse(&front.board, &known, *refusal),
     };
     let (id, stream) = (caller.request.clone(), chat.stream);
     let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
@@ -71,12 +72,12 @@
         Ok(Ok(())) if stream => response::stream(receiver),
         Ok(Ok(())) => match response::collect(receiver).await {
             Ok(response) => response,
-            Err(refusal) => return answer::refuse(&front.board, Some(&id), refusal),
+            Err(refusal) => return answer::refuse(&front.board, &known, refusal),
         },
-        Ok(Err(refusal)) => return answer::refuse(&front.board, Some(&id), refusal),
+        Ok(Err(refusal)) => return answer::refuse(&front.board, &known, refusal),
         Err(_) => {
             let refusal = Refusal::unknown(Reason::UpstreamFailed, "the request was given up");
-            return answer::refuse(&front.board, Some(&id), refusal);
+            return answer::refuse(&front.board, &known, refusal);
         }
     };
     answer::set_headers(&mut response, Some(&id), Execution::Ran);
@@ -90,18 +91,18 @@
     front: &Front,
     headers: &HeaderMap,
     body: Body,
-) -> Result<Admitted, (Option<fescue_core::RequestId>, Box<Refusal>)> {
+    known: &mut Known,
+) -> Result<Admitted, Box<Refusal>> {
     let board = &front.board;
-    let caller = Caller::read(board, headers).map_err(|r| (None, Box::new(r)))?;
-    let id = caller.request.clone();
-    let refused = |refusal: Refusal| (Some(id.clone()), Box::new(refusal));
+    let caller = Caller::read(board, headers, known)?;
     let limits = &board.settings.limits;
     let shortest = board.shortest_stream_time();
     let body = intake::read_in_time(board, shortest, body).await;
-    let chat = ChatRequest::parse(&body.map_err(refused)?, limits).map_err(refused)?;
+    let chat = ChatRequest::parse(&body?, limits)?;
+    known.model = Some(chat.model.clone());
     let longest = board.stream_time(&chat.model, chat.max_tokens);
     let reserved = board.unless_too_late(longest, reserve(front, &caller, &chat));
-    let reservation = reserved.await.map_err(refused)?;
+    let reservation = reserved.await?;
     Ok((caller, chat, reservation))
 }
 
--- a/crates/router/src/front/services.rs
+++ b/crates/router/src/front/services.rs
@@ -21,6 +21,7 @@
 use fescue_store::claims::{Answer, ClaimOutcome, ClaimRow};
 use fescue_store::head;
 
+use super::answer::Known;
 use super::caller::Caller;
 use super::{Front, answer, intake};
 use crate::billing::RequestDetails;
@@ -38,10 +39,11 @@
 ) -> Response {
     let (parts, body) = request.into_parts();
     let running = front.board.start_request();
-    let admitted = admit(&front, &service, &path, &parts.headers, body).await;
+    let mut known = Known::default();
+    let admitted = admit(&front, &service, &path, &parts.headers, body, &mut known).await;
     let call = match admitted {
         Ok(call) => call,
-        Err((id, refusal)) => return answer::refuse(&front.board, id.as_ref(), *refusal),
+        Err(refusal) => return answer::refuse(&front.board, &known, *refusal),
     };
     let id = call.caller.request.clone();
     // The call runs in a task of its own, so that a claim gets its outcome even if the caller
@@ -54,7 +56,7 @@
     let given_up = || Refusal::unknown(Reason::UpstreamFailed, "the call was given up");
     match done.await.unwrap_or_else(|_| Err(given_up())) {
         Ok(stored) => respond(&id, stored),
-        Err(refusal) => answer::refuse(&front.board, Some(&id), refusal),
+        Err(refusal) => answer::refuse(&front.board, &known, refusal),
     }
 }
 
@@ -64,16 +66,16 @@
     path: &str,
     headers: &HeaderMap,
     body: Body,
-) -> Result<ServiceCall, (Option<RequestId>, Box<Refusal>)> {
+    known: &mut Known,
+) -> Result<ServiceCall, Box<Refusal>> {
     let board = &front.board;
-    let caller = Caller::read(board, headers).map_err(|r| (None, Box::new(r)))?;
-    let id = caller.request.clone();
-    let refused = |refusal: Refusal| (Some(id.clone()), Box::new(refusal));
+    let caller = Caller::read(board, headers, known)?;
     let unknown = || Refusal::not_run(Reason::NotFound, format!("there is no service {service}"));
-    let name: ServiceId = service.parse().map_err(|_| refused(unknown()))?;
+    let name: ServiceId = service.parse().map_err(|_| unknown())?;
     let book = board.book();
     let rule = book.services.get(&name).cloned();
-    let rule = rule.ok_or_else(|| refused(unknown()))?;
+    let rule = rule.ok_or_else(unknown)?;
+    known.service = Some(name.clone());
     // An earlier attempt at a claimed call may have run, and is looked up by its body.
     let claimed = caller.keyed && !rule.retryable;
     let time = if claimed {
@@ -83,8 +85,8 @@
     };
     let body = intake::read_in_time(board, time, body).await;
     let body = body.map_err(|refusal| match claimed {
-        true => refused(claimed::not_looked_up(refusal)),
-        false => refused(refusal),
+        true => claimed::not_looked_up(refusal),
+        false => refusal,
     })?;
     let content = [format!("{name}/{path}\n").as_bytes(), &body].concat();
     let fingerprint = hash::digest64(&content);
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -39,6 +39,7 @@
 mod process_grace_load;
 mod process_heads;
 mod process_input;
+mod process_lines;
 mod process_refusals;
 mod process_resumes;
 mod process_service;
