--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -173,7 +173,8 @@
         }
     }
 
-    /// Asserts that all but a part of the requests were served, and nearly all within their target.
+    /// Asserts that all but a part of the requests were served, and nearly all within their target: the loss of
+    /// a path may delay those of half a second, of six.
     fn assert_served(&self, refused: f64) {
         let most = (self.requests as f64 * refused) as u64;
         assert!(self.requests - self.served <= most, "{self:?}");
@@ -242,7 +243,8 @@
             site.cut_soon(0..places, reach);
             let name = format!("{routers} routers, {places} cut off, {reach:?}");
             let (cut, counts, writes) = site.measure(&name, 6 * SECOND).await;
-            // Each router that the store leaves without an answer costs 0.4 s, of 0.9 s that a request waits.
+            // Each router that the store leaves without an answer costs 0.4 s, of 0.9 s that a request waits: with
+            // four of them those of 0.7 s, of six, may be refused.
             let refused = match (places, reach) {
                 (4, Reach::Silent) => 0.08,
                 _ => 0.02,
