crowding: a restarted router stays withdrawn if its previous process was crowded

Cause: one team sends about 300 requests a second from one caller. The balancer gives it one router of 10 Mbit/s after the other, in a fixed order; each is full within a second (link 0.91 to 1.19, processor 0.04 to 0.15) and is removed 2.2 s later.

Change: heartbeat rows say that a router isn't ready also if that is for a full link. At its first scan a process reads its VM's row, and if that says so stays withdrawn until it has been calm for 20 s, while at most four tenths of the data centre's routers have withdrawn (the balancer uses all if fewer than half are ready) and the others' average use is below 0.6, as before.

--- a/crates/gateway/src/crowd.rs
+++ b/crates/gateway/src/crowd.rs
@@ -46,6 +46,17 @@
         self.state.lock().set_unready(unready);
     }
 
+    /// Returns whether the router reports for its load that it isn't ready.
+    pub fn is_unready(&self) -> bool {
+        self.state.lock().is_unready()
+    }
+
+    /// Takes over that the previous process on this VM wasn't ready for its load.
+    pub fn resume(&self) {
+        self.state.lock().resume();
+        tracing::info!("not ready yet, as the previous process was crowded");
+    }
+
     /// Takes over what was used since the last call.
     pub fn observe(&self, usage: Usage, elapsed: Duration, neighbours: Neighbours) {
         let mut state = self.state.lock();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -83,13 +83,16 @@
         scans: u32,
     ) -> Result<(), TableError> {
         let suspects = gateway.outbox.take_for_store(MAX_SUSPECTS);
+        let mut crowded = false;
         if scans == 0 {
             // After a restart, the rows of the others and the old row of this router are present.
             let rows = scan_all(table, FLEET_PREFIX).await?;
             let own = format!("{ROUTER_PREFIX}{}", gateway.settings.vm);
-            self.restarted = rows.iter().any(|row| row.key == own);
+            let own = rows.iter().find(|row| row.key == own);
+            self.restarted = own.is_some();
+            crowded = gateway.settings.crowding && own.is_some_and(was_crowded);
         }
-        let news = !suspects.is_empty() || self.withdrawn != gateway.crowd.is_withdrawn();
+        let news = !suspects.is_empty() || self.withdrawn != gateway.crowd.is_unready();
         if scans.is_multiple_of(SCANS_PER_HEARTBEAT) || news {
             let written = self.write(gateway, table, &suspects).await;
             if written.is_err() {
@@ -107,6 +110,10 @@
         }
         self.era = era.or(self.era);
         let expired = self.update(gateway, &rows);
+        if crowded {
+            // Only now it is known how many others aren't ready.
+            gateway.crowd.resume();
+        }
         delete_expired(table, &expired).await
     }
 
@@ -123,7 +130,7 @@
             count: self.heartbeats,
             address: gateway.settings.listen.peers,
             data_centre: Some(gateway.settings.data_centre.clone()),
-            withdrawn: gateway.crowd.is_withdrawn(),
+            withdrawn: gateway.crowd.is_unready(),
             busy_percent: (gateway.crowd.busy() * 100.0) as u8,
         };
         self.withdrawn = heartbeat.withdrawn;
@@ -187,6 +194,12 @@
     }
 }
 
+/// Returns whether the previous process on this VM took no new connections because it was crowded.
+fn was_crowded(row: &Row) -> bool {
+    let heartbeat = decode_heartbeat(row).ok().flatten();
+    heartbeat.is_some_and(|heartbeat| heartbeat.withdrawn)
+}
+
 /// Decodes a heartbeat, whose address must be one that datagrams can be sent to.
 fn decode_heartbeat(row: &Row) -> Result<Option<Heartbeat>, TableError> {
     let heartbeat: Option<Heartbeat> = row.decode()?;
--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -33,6 +33,10 @@
 /// The part of a data centre's routers that may withdraw at the same time.
 const MAX_WITHDRAWN_PART: f64 = 0.25;
 
+/// The part that may be withdrawn together with routers that were so before they restarted: the balancer
+/// uses all routers if fewer than half are ready.
+const MAX_RESUMED_PART: f64 = 0.4;
+
 /// The average use of a data centre's routers above which none withdraws: the others couldn't take its
 /// callers.
 const NEIGHBOURS_FULL_ABOVE: f64 = 0.6;
@@ -137,10 +141,10 @@
 }
 
 impl Neighbours {
-    /// Returns how many routers may have withdrawn at the same time.
-    fn most(self) -> usize {
+    /// Returns how many routers may have withdrawn at the same time, as that part of all.
+    fn most(self, part: f64) -> usize {
         match self.busy < NEIGHBOURS_FULL_ABOVE {
-            true => (self.routers as f64 * MAX_WITHDRAWN_PART) as usize,
+            true => (self.routers as f64 * part) as usize,
             false => 0,
         }
     }
@@ -157,6 +161,8 @@
     /// The time since the withdrawal; `None` while new connections are taken.
     withdrawn: Option<Duration>,
     calm: Duration,
+    /// Whether the previous process had withdrawn, and this one has stayed so.
+    resumed: bool,
     /// The time since the router reports for another reason that it isn't ready.
     unready: Option<Duration>,
     /// The limit on admitted requests per second; `None` while all are admitted.
@@ -247,7 +253,10 @@
             true => self.calm.saturating_add(elapsed),
             false => Duration::ZERO,
         };
-        let most = neighbours.most();
+        let most = neighbours.most(match self.resumed {
+            true => MAX_RESUMED_PART,
+            false => MAX_WITHDRAWN_PART,
+        });
         let Some(since) = self.withdrawn else {
             if self.busy > WITHDRAW_ABOVE && neighbours.withdrawn < most {
                 self.withdrawn = Some(Duration::ZERO);
@@ -259,7 +268,7 @@
         // Routers that withdraw at the same time don't know of each other yet.
         let too_many = neighbours.withdrawn + 1 > most && neighbours.before >= most;
         if too_many || self.calm >= CALM_TIME {
-            self.withdrawn = None;
+            (self.withdrawn, self.resumed) = (None, false);
             return Some(false);
         }
         None
@@ -281,6 +290,18 @@
         self.unready = unready.then(|| self.unready.unwrap_or_default());
     }
 
+    /// Returns whether the router reports that it isn't ready.
+    pub fn is_unready(&self) -> bool {
+        self.removal().is_some()
+    }
+
+    /// Takes over that the previous process on this VM wasn't ready for its load: the balancer would send
+    /// the same callers as before.
+    pub fn resume(&mut self) {
+        self.resumed = self.withdrawn.is_none();
+        self.withdrawn.get_or_insert(Duration::ZERO);
+    }
+
     /// Returns the time for which the router has reported that it isn't ready.
     fn removal(&self) -> Option<Duration> {
         self.withdrawn.max(self.unready)
--- a/crates/policy/tests/suite/crowding.rs
+++ b/crates/policy/tests/suite/crowding.rs
@@ -191,6 +191,35 @@
     assert!(crowding.awaits_removal());
 }
 
+/// A restarted router whose previous process had withdrawn must be calm first, unless four tenths of the
+/// others stay away. Guards against callers that fill the same small routers one after another again when
+/// all have restarted.
+#[test]
+fn restarted_router_stays_withdrawn_until_calm() {
+    let mut crowding = Crowding::default();
+    crowding.resume();
+    assert!(crowding.is_withdrawn());
+    let calm = (0..).take_while(|_| observe(&mut crowding, 0.0, 0.0) != Some(false));
+    let count = calm.count();
+    assert!((195..205).contains(&count), "{count} tenths of a second");
+
+    let idle = Usage {
+        processor: 0.0,
+        link: 0.0,
+    };
+    for (withdrawn, changed) in [(24, None), (25, Some(false))] {
+        let neighbours = Neighbours {
+            withdrawn,
+            before: withdrawn,
+            ..NEIGHBOURS
+        };
+        let mut crowding = Crowding::default();
+        crowding.resume();
+        let seen = crowding.observe(idle, Duration::from_millis(100), neighbours);
+        assert_eq!(seen, changed, "{withdrawn} others");
+    }
+}
+
 /// Observes a tenth of a second on one of 63 routers.
 fn observe(crowding: &mut Crowding, processor: f64, link: f64) -> Option<bool> {
     let usage = Usage { processor, link };
