gateway: report connections and bytes of a crowded router

Cause: a router whose link is full logged its use and its limit, not whether requests come on new connections, nor what they receive and send. So it couldn't be told whether refused bodies fill the link, and whether a caller keeps using the connections that it has.

Change: one line a second while the router is crowded, and two counters. No decision changes.

--- a/crates/gateway/src/crowd.rs
+++ b/crates/gateway/src/crowd.rs
@@ -99,6 +99,12 @@
         self.state.lock().busy()
     }
 
+    /// Returns the load, and the average numbers of requests per second that arrive and that are admitted.
+    pub fn load(&self) -> (Load, (f64, f64)) {
+        let state = self.state.lock();
+        (Load::from(&*state), state.rates())
+    }
+
     /// Returns whether the balancer should send no new connections.
     pub fn is_withdrawn(&self) -> bool {
         self.state.lock().is_withdrawn()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -334,6 +334,7 @@
     /// Records a caller's new connection.
     pub fn open_connection(&self) {
         *self.connected.lock() = Instant::now();
+        self.metrics.connections.inc();
         self.connections.fetch_add(1, Ordering::Relaxed);
     }
 
--- a/crates/gateway/src/ingress/recorder.rs
+++ b/crates/gateway/src/ingress/recorder.rs
@@ -200,7 +200,7 @@
     /// Counts written bytes in the use of the link.
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = written {
-            self.gateway.link.count(bytes);
+            self.gateway.link.count_write(bytes);
             self.recorder.record_write();
         }
         written
@@ -218,7 +218,7 @@
         if matches!(read, Poll::Ready(Ok(()))) {
             let bytes = &buffer.filled()[before..];
             self.recorder.record(bytes);
-            self.gateway.link.count(bytes.len());
+            self.gateway.link.count_read(bytes.len());
         }
         read
     }
--- a/crates/gateway/src/link_use.rs
+++ b/crates/gateway/src/link_use.rs
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 pub struct LinkUsage {
     bytes: AtomicU64,
+    received: AtomicU64,
+    sent: AtomicU64,
     share: Mutex<LinkMonitor>,
 }
 
@@ -25,6 +27,8 @@
         let share = LinkMonitor::open(link_mbps * BYTES_PER_MEGABIT);
         Self {
             bytes: AtomicU64::new(0),
+            received: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
             share: Mutex::new(share),
         }
     }
@@ -34,9 +38,26 @@
         self.share.lock().resize(link_mbps * BYTES_PER_MEGABIT);
     }
 
-    /// Counts a read from or a write to a caller; the same bytes cross the link again to or from an
-    /// upstream.
-    pub fn count(&self, bytes: usize) {
+    /// Counts a read from a caller.
+    pub fn count_read(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.count(bytes);
+    }
+
+    /// Counts a write to a caller.
+    pub fn count_write(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.count(bytes);
+    }
+
+    /// Returns the bytes received from callers and sent to them since the last call, without packet headers.
+    pub fn take_bytes(&self) -> (u64, u64) {
+        let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
+        (take(&self.received), take(&self.sent))
+    }
+
+    /// Counts bytes from or to a caller; they cross the link again to or from an upstream.
+    fn count(&self, bytes: usize) {
         self.bytes
             .fetch_add(bytes as u64 + PACKET_OVERHEAD_BYTES, Ordering::Relaxed);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,13 @@
     pub kind: &'static str,
 }
 
+/// Labels of bytes exchanged with callers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DirectionLabels {
+    /// `received` or `sent`.
+    pub direction: &'static str,
+}
+
 /// The metrics of one gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -74,6 +81,10 @@
     pub moved: Family<TransferLabels, Counter>,
     /// Messages about tokens by kind.
     pub token_messages: Family<TokenMessageLabels, Counter>,
+    /// Connections that callers have opened.
+    pub connections: Counter,
+    /// Bytes received from callers and sent to them, without packet headers.
+    pub caller_bytes: Family<DirectionLabels, Counter>,
     /// Utilization of the VM's link in percent.
     pub link_percent: Gauge,
     /// Part of the time for which the process's tasks run, in percent.
@@ -100,6 +111,8 @@
             tokens: Counter::default(),
             moved: Family::default(),
             token_messages: Family::default(),
+            connections: Counter::default(),
+            caller_bytes: Family::default(),
             link_percent: Gauge::default(),
             processor_percent: Gauge::default(),
             running: Gauge::default(),
@@ -128,6 +141,10 @@
         r.register("tokens_moved", help, self.moved.clone());
         let help = "Messages about tokens between routers, sent or received, by kind.";
         r.register("token_messages", help, self.token_messages.clone());
+        let help = "Connections that callers have opened.";
+        r.register("connections", help, self.connections.clone());
+        let help = "Bytes received from callers and sent to them.";
+        r.register("caller_bytes", help, self.caller_bytes.clone());
         let help = "Percent of the VM's link in use.";
         r.register("link_percent", help, self.link_percent.clone());
         let help = "Percent of the time for which the process's tasks run.";
@@ -143,6 +160,14 @@
         self
     }
 
+    /// Counts bytes that were received from callers, and bytes sent to them.
+    pub fn count_bytes(&self, received: u64, sent: u64) {
+        for (direction, bytes) in [("received", received), ("sent", sent)] {
+            let labels = DirectionLabels { direction };
+            self.caller_bytes.get_or_create(&labels).inc_by(bytes);
+        }
+    }
+
     /// Counts a finished request.
     pub fn count_request(&self, status: u16, reason: &'static str) {
         let ending = RequestLabels { status, reason };
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -12,11 +12,18 @@
 /// Interval between measurements.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of measurements for each report of the load.
+const SAMPLES_PER_REPORT: u32 = 10;
+
+/// Use of the processor or link above which the load is logged.
+const LOG_ABOVE: f64 = 0.6;
+
 /// Samples the link and the processor for as long as the process runs, and exports their use.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut samples = interval(SAMPLE_INTERVAL);
     samples.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut last, mut meter) = (Instant::now(), Meter::open());
+    let mut reports = Reports::default();
     loop {
         samples.tick().await;
         let (average, link) = gateway.link.sample(last.elapsed());
@@ -25,12 +32,54 @@
         let processor = meter.sample();
         let percent = (processor * 100.0) as i64;
         gateway.metrics.processor_percent.set(percent);
-        if !gateway.settings.crowding {
-            continue;
+        if gateway.settings.crowding {
+            gateway.crowd.set_unready(gateway.link.is_busy());
+            let neighbours = gateway.peers.lock().near();
+            let usage = Usage { processor, link };
+            gateway.crowd.observe(usage, meter.elapsed(), neighbours);
+        }
+        reports.count(&gateway);
+    }
+}
+
+/// What was reported last.
+#[derive(Default)]
+struct Reports {
+    samples: u32,
+    /// The connections that callers had opened.
+    connections: u64,
+}
+
+impl Reports {
+    /// Counts a measurement, and reports the load if enough were made.
+    fn count(&mut self, gateway: &Gateway) {
+        self.samples += 1;
+        if self.samples < SAMPLES_PER_REPORT {
+            return;
+        }
+        self.samples = 0;
+        let (received, sent) = gateway.link.take_bytes();
+        gateway.metrics.count_bytes(received, sent);
+        let connections = gateway.metrics.connections.get();
+        let opened = connections - self.connections;
+        self.connections = connections;
+        let (load, (arrivals, admitted)) = gateway.crowd.load();
+        if load.busy < LOG_ABOVE && load.limit.is_none() && !gateway.crowd.is_unready() {
+            return;
         }
-        gateway.crowd.set_unready(gateway.link.is_busy());
-        let neighbours = gateway.peers.lock().near();
-        let usage = Usage { processor, link };
-        gateway.crowd.observe(usage, meter.elapsed(), neighbours);
+        tracing::info!(
+            processor_percent = load.processor_percent(),
+            link_percent = load.link_percent(),
+            limit = load.limit_rate(),
+            withdrawn = load.withdrawn,
+            unready = gateway.crowd.is_unready(),
+            arrivals = arrivals.round(),
+            admitted = admitted.round(),
+            opened,
+            connections = gateway.connections(),
+            received,
+            sent,
+            "load of a crowded router"
+        );
     }
 }
--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -321,6 +321,11 @@
         self.usage
     }
 
+    /// Returns the average numbers of requests per second that arrive and that are admitted.
+    pub fn rates(&self) -> (f64, f64) {
+        (self.arrival_rate, self.admitted_rate)
+    }
+
     /// Returns the limit on admitted requests per second; `None` while all are admitted.
     pub fn limit(&self) -> Option<f64> {
         self.limit
