policy tests: a caller larger than a small link, failing

What callers saw: SHORT, too little served in one zone or of the largest team.

The assumption about connections (a caller uses an idle one only at the router that the balancer selects) follows the load lines: router 18 kept 438 idle connections and got 0 to 3 requests a second on them.

--- a/crates/policy/tests/suite/main.rs
+++ b/crates/policy/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod queue;
 mod rate_limit;
 mod settlement;
+mod small_links;
 mod stream_times;
 mod waiting;
 mod window;
