crowding: serve what a full link brings, and let callers go round

Cause: a control loop that measures what its action doesn't change. The limit fell while the link was full, and the link was full of the bodies of refused requests, which came back: twice the load on the next router. Bodies still waited for a removed router's link 7 s later (class: retries that sustain an overload). Besides, three bounds on unready routers were added up (crowded, full link without a bound, restarted), so that fewer than half were left and the balancer used all.

Change: a full link doesn't limit requests until it has been full for 5 s; by then the balancer has removed the router, unless it can't. The limit then is what bodies leave of the link, over the bytes of an answer; it can't run away. All routers that withdraw for a link or after a restart count against one bound, four tenths (a quarter for processors, as before). While it is nearly reached, the first calm routers return after 3 s, so that a caller too large for any link goes round. Connections are closed only once the balancer knows of the withdrawal.

--- a/crates/gateway/src/crowd.rs
+++ b/crates/gateway/src/crowd.rs
@@ -47,7 +47,9 @@
 
 impl From<&Crowding> for Load {
     fn from(state: &Crowding) -> Self {
-        let Usage { processor, link } = state.usage();
+        let Usage {
+            processor, link, ..
+        } = state.usage();
         Self {
             busy: state.busy(),
             processor,
@@ -116,16 +118,6 @@
         self.state.lock().awaits_removal()
     }
 
-    /// Takes over whether the router reports for another reason that it isn't ready.
-    pub fn set_unready(&self, unready: bool) {
-        self.state.lock().set_unready(unready);
-    }
-
-    /// Returns whether the router reports for its load that it isn't ready.
-    pub fn is_unready(&self) -> bool {
-        self.state.lock().is_unready()
-    }
-
     /// Takes over that the previous process on this VM wasn't ready for its load.
     pub fn resume(&self) {
         self.state.lock().resume();
@@ -139,7 +131,9 @@
         let changed = state.observe(usage, elapsed, neighbours);
         let (busy, limit) = (state.busy(), state.limit());
         drop(state);
-        let Usage { processor, link } = usage;
+        let Usage {
+            processor, link, ..
+        } = usage;
         if let Some(withdrawn) = changed {
             let Neighbours {
                 routers,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -92,7 +92,7 @@
             self.restarted = own.is_some();
             crowded = gateway.settings.crowding && own.is_some_and(was_crowded);
         }
-        let news = !suspects.is_empty() || self.withdrawn != gateway.crowd.is_unready();
+        let news = !suspects.is_empty() || self.withdrawn != gateway.crowd.is_withdrawn();
         if scans.is_multiple_of(SCANS_PER_HEARTBEAT) || news {
             let written = self.write(gateway, table, &suspects).await;
             if written.is_err() {
@@ -130,7 +130,7 @@
             count: self.heartbeats,
             address: gateway.settings.listen.peers,
             data_centre: Some(gateway.settings.data_centre.clone()),
-            withdrawn: gateway.crowd.is_unready(),
+            withdrawn: gateway.crowd.is_withdrawn(),
             busy_percent: (gateway.crowd.busy() * 100.0) as u8,
         };
         self.withdrawn = heartbeat.withdrawn;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -338,6 +338,12 @@
         self.connections.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Returns whether a caller should connect anew after its answer, to reach another router.
+    pub fn should_shed(&self) -> bool {
+        let returns = self.settings.crowding && self.crowd.awaits_removal();
+        !returns && self.link.should_shed()
+    }
+
     /// Records that a caller's connection is closed.
     pub fn close_connection(&self) {
         self.connections.fetch_sub(1, Ordering::Relaxed);
--- a/crates/gateway/src/link_use.rs
+++ b/crates/gateway/src/link_use.rs
@@ -12,6 +12,21 @@
 /// Bytes per second in one megabit per second.
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
+/// What passed the link since the last sample.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LinkSample {
+    /// The average utilization, as a fraction of the capacity.
+    pub average: f64,
+    /// The utilization since the last sample.
+    pub current: f64,
+    /// The part of it that requests from callers took.
+    pub requests: f64,
+    /// Bytes received from callers, without packet headers.
+    pub received: u64,
+    /// Bytes sent to callers, without packet headers.
+    pub sent: u64,
+}
+
 /// The utilization of a VM's network link by this router.
 #[derive(Debug)]
 pub struct LinkUsage {
@@ -50,12 +65,6 @@
         self.count(bytes);
     }
 
-    /// Returns the bytes received from callers and sent to them since the last call, without packet headers.
-    pub fn take_bytes(&self) -> (u64, u64) {
-        let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
-        (take(&self.received), take(&self.sent))
-    }
-
     /// Counts bytes from or to a caller; they cross the link again to or from an upstream.
     fn count(&self, bytes: usize) {
         self.bytes
@@ -77,10 +86,10 @@
         self.share.lock().should_shed(rand::random())
     }
 
-    /// Updates the utilization from the bytes counted since the last sample; returns the average, and that
-    /// since the last sample, as fractions of the capacity.
-    pub fn sample(&self, elapsed: Duration) -> (f64, f64) {
-        let bytes = self.bytes.swap(0, Ordering::Relaxed);
+    /// Updates the utilization from the bytes counted since the last sample.
+    pub fn sample(&self, elapsed: Duration) -> LinkSample {
+        let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
+        let (bytes, received) = (take(&self.bytes), take(&self.received));
         let mut share = self.share.lock();
         if let Some(busy) = share.observe(bytes, elapsed) {
             tracing::info!(
@@ -89,6 +98,12 @@
                 "link utilization changed between busy and not busy"
             );
         }
-        (share.utilization(), share.current())
+        LinkSample {
+            average: share.utilization(),
+            current: share.current(),
+            requests: share.current() * received as f64 / bytes.max(1) as f64,
+            received,
+            sent: take(&self.sent),
+        }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fescue_core::{Incarnation, TeamId, VmId, hash};
-use fescue_policy::crowding::Neighbours;
+use fescue_policy::crowding::{self, Neighbours};
 use fescue_policy::homes::{self, Role};
 use tokio::time::Instant;
 
@@ -63,6 +63,13 @@
     }
 }
 
+impl Peer {
+    /// Returns whether it is calm, by what it said of its use.
+    fn is_calm(&self) -> bool {
+        crowding::is_calm(f64::from(self.busy_percent) / 100.0)
+    }
+}
+
 /// A router that may be the home of a team.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Home {
@@ -111,12 +118,14 @@
     pub fn near(&self) -> Neighbours {
         let near = self.list.iter().filter(|peer| peer.near);
         let withdrawn = near.clone().filter(|peer| peer.withdrawn);
+        let before = withdrawn.clone().filter(|peer| peer.member < self.own);
         let open = near.clone().filter(|peer| !peer.withdrawn);
         let percent: u32 = open.clone().map(|peer| u32::from(peer.busy_percent)).sum();
         Neighbours {
             routers: near.count() + 1,
-            withdrawn: withdrawn.clone().count(),
-            before: withdrawn.filter(|peer| peer.member < self.own).count(),
+            withdrawn: withdrawn.count(),
+            before: before.clone().count(),
+            calm_before: before.filter(|peer| peer.is_calm()).count(),
             busy: f64::from(percent) / 100.0 / open.count().max(1) as f64,
         }
     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -28,7 +28,10 @@
     State(gateway): State<Arc<Gateway>>,
     ConnectInfo(from): ConnectInfo<SocketAddr>,
 ) -> StatusCode {
-    let crowded = gateway.link.is_busy() || gateway.crowd.is_withdrawn();
+    let crowded = match gateway.settings.crowding {
+        true => gateway.crowd.is_withdrawn(),
+        false => gateway.link.is_busy(),
+    };
     let ready = gateway.phase() == Phase::Ready && !crowded;
     gateway.drain.record_check(from.ip(), !ready);
     match ready {
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -1,5 +1,6 @@
 //! Samples what this router uses of its VM.
 
+use std::mem::take;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 
 use crate::crowd::Meter;
 use crate::gateway::Gateway;
+use crate::link_use::LinkSample;
 
 /// Interval between measurements.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -26,19 +28,24 @@
     let mut reports = Reports::default();
     loop {
         samples.tick().await;
-        let (average, link) = gateway.link.sample(last.elapsed());
+        let link = gateway.link.sample(last.elapsed());
         last = Instant::now();
-        gateway.metrics.link_percent.set((average * 100.0) as i64);
+        let percent = (link.average * 100.0) as i64;
+        gateway.metrics.link_percent.set(percent);
+        gateway.metrics.count_bytes(link.received, link.sent);
         let processor = meter.sample();
         let percent = (processor * 100.0) as i64;
         gateway.metrics.processor_percent.set(percent);
         if gateway.settings.crowding {
-            gateway.crowd.set_unready(gateway.link.is_busy());
             let neighbours = gateway.peers.lock().near();
-            let usage = Usage { processor, link };
+            let usage = Usage {
+                processor,
+                link: link.current,
+                requests: link.requests,
+            };
             gateway.crowd.observe(usage, meter.elapsed(), neighbours);
         }
-        reports.count(&gateway);
+        reports.count(&gateway, link);
     }
 }
 
@@ -48,23 +55,26 @@
     samples: u32,
     /// The connections that callers had opened.
     connections: u64,
+    received: u64,
+    sent: u64,
 }
 
 impl Reports {
     /// Counts a measurement, and reports the load if enough were made.
-    fn count(&mut self, gateway: &Gateway) {
+    fn count(&mut self, gateway: &Gateway, link: LinkSample) {
+        self.received += link.received;
+        self.sent += link.sent;
         self.samples += 1;
         if self.samples < SAMPLES_PER_REPORT {
             return;
         }
         self.samples = 0;
-        let (received, sent) = gateway.link.take_bytes();
-        gateway.metrics.count_bytes(received, sent);
+        let (received, sent) = (take(&mut self.received), take(&mut self.sent));
         let connections = gateway.metrics.connections.get();
         let opened = connections - self.connections;
         self.connections = connections;
         let (load, (arrivals, admitted)) = gateway.crowd.load();
-        if load.busy < LOG_ABOVE && load.limit.is_none() && !gateway.crowd.is_unready() {
+        if load.busy < LOG_ABOVE && load.limit.is_none() && !load.withdrawn {
             return;
         }
         tracing::info!(
@@ -72,7 +82,6 @@
             link_percent = load.link_percent(),
             limit = load.limit_rate(),
             withdrawn = load.withdrawn,
-            unready = gateway.crowd.is_unready(),
             arrivals = arrivals.round(),
             admitted = admitted.round(),
             opened,
--- a/crates/gateway/tests/suite/crowd.rs
+++ b/crates/gateway/tests/suite/crowd.rs
@@ -11,6 +11,7 @@
 const FULL: Usage = Usage {
     processor: 1.0,
     link: 0.0,
+    requests: 0.0,
 };
 
 fn peer(vm: &str, near: bool, busy_percent: u8, withdrawn: bool) -> Peer {
--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -3,15 +3,17 @@
 //! The load balancer sends each caller's new connections to one router, whatever that can carry. A crowded
 //! router therefore
 //!
-//! - withdraws: it reports that it isn't ready, so that new connections go to other routers. It keeps the
-//!   connections that it has, whose load stays, so that several routers share a caller that is too large
-//!   for one;
-//! - refuses at once what it can't serve, rather than serving everybody late. The limit follows the use.
-//!   Teams that take a small part of its requests come first, then the more urgent requests;
+//! - withdraws: it reports that it isn't ready, so that the callers go to other routers;
+//! - refuses at once what its processor can't serve, rather than serving everybody late. The limit follows
+//!   the use. Teams that take a small part of its requests come first, then the more urgent requests;
+//! - serves what its link brings: a request whose body has arrived has used the link, and refused it comes
+//!   back, here or at the next router, and uses it again. Only if the link stays full, as the balancer
+//!   can't send the callers elsewhere, the answers are limited to what the bodies leave;
 //! - lets callers connect anew with their refusals, once the balancer knows that it has withdrawn.
 //!
-//! Not more than a quarter of the routers of a data centre withdraw, and none if most are crowded: there is
-//! nowhere to go. See [docs/design/load.md](../../../docs/design/load.md).
+//! Only a part of the routers of a data centre withdraw, and none if most are crowded: there is nowhere to
+//! go. If that part is nearly reached, calm routers return early, so that a caller that is too large for any
+//! of them goes round. See [docs/design/load.md](../../../docs/design/load.md).
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -30,12 +32,18 @@
 /// sends it the same callers as before.
 const CALM_TIME: Duration = Duration::from_secs(20);
 
-/// The part of a data centre's routers that may withdraw at the same time.
+/// The same, while nearly as many routers have withdrawn as may: what waits for the link is gone by then.
+const SHORT_CALM_TIME: Duration = Duration::from_secs(3);
+
+/// The number of withdrawals up to [`MAX_AWAY_PART`] that are kept for routers that will need one.
+const SPARE_WITHDRAWALS: usize = 2;
+
+/// The part of a data centre's routers that may withdraw for their processors at the same time.
 const MAX_WITHDRAWN_PART: f64 = 0.25;
 
-/// The part that may be withdrawn together with routers that were so before they restarted: the balancer
-/// uses all routers if fewer than half are ready.
-const MAX_RESUMED_PART: f64 = 0.4;
+/// The part that may withdraw for their links or stay withdrawn after a restart, together with the others: the
+/// balancer uses all routers if fewer than half are ready.
+const MAX_AWAY_PART: f64 = 0.4;
 
 /// The average use of a data centre's routers above which none withdraws: the others couldn't take its
 /// callers.
@@ -47,6 +55,16 @@
 /// The shortest time after which a refused request may come again.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// The time after which it may come again if the balancer will send it to this router.
+const RETRY_AFTER_HERE: Duration = Duration::from_secs(1);
+
+/// The time for which the link must be full before answers are limited: by then the balancer has removed the
+/// router, and what waited for the link has crossed it.
+const FULL_LINK_TIME: Duration = Duration::from_secs(5);
+
+/// The part of the link that is left to answers at least.
+const MIN_ANSWER_PART: f64 = 0.15;
+
 /// The use above which fewer requests are admitted.
 const ADMIT_LESS_ABOVE: f64 = 0.9;
 
@@ -92,6 +110,19 @@
 /// Number of teams whose part of the requests is known.
 const MAX_TEAMS: usize = 256;
 
+/// Returns whether a router of that average use is calm.
+pub fn is_calm(busy: f64) -> bool {
+    busy < CALM_BELOW
+}
+
+/// Returns the part of a data centre's routers that may withdraw for their links, or for their processors.
+fn part(for_link: bool) -> f64 {
+    match for_link {
+        true => MAX_AWAY_PART,
+        false => MAX_WITHDRAWN_PART,
+    }
+}
+
 /// A request to be admitted.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -117,6 +148,8 @@
     pub processor: f64,
     /// The part of the link's capacity that was used; above 1 if the link is overloaded.
     pub link: f64,
+    /// The part that requests from callers used.
+    pub requests: f64,
 }
 
 impl Usage {
@@ -125,6 +158,13 @@
         let most = self.processor.max(self.link / FULL_LINK_PART);
         most.clamp(0.0, MAX_USE)
     }
+
+    /// Moves these averages towards what was measured.
+    fn follow(&mut self, measured: Self, gain: f64) {
+        self.processor += (measured.processor - self.processor) * gain;
+        self.link += (measured.link - self.link) * gain;
+        self.requests += (measured.requests - self.requests) * gain;
+    }
 }
 
 /// The routers of the data centre, as far as this one knows.
@@ -136,6 +176,8 @@
     pub withdrawn: usize,
     /// Number of those that precede this one in an order that all routers share.
     pub before: usize,
+    /// Number of the preceding ones that are calm.
+    pub calm_before: usize,
     /// The average use of the routers that haven't withdrawn.
     pub busy: f64,
 }
@@ -163,10 +205,12 @@
     /// The time since the withdrawal; `None` while new connections are taken.
     withdrawn: Option<Duration>,
     calm: Duration,
+    /// The time for which the link has been full.
+    full: Duration,
+    /// Whether the router has withdrawn for its link.
+    for_link: bool,
     /// Whether the previous process had withdrawn, and this one has stayed so.
     resumed: bool,
-    /// The time since the router reports for another reason that it isn't ready.
-    unready: Option<Duration>,
     /// The limit on admitted requests per second; `None` while all are admitted.
     limit: Option<f64>,
     /// The unused admissions.
@@ -195,20 +239,22 @@
         if seconds <= 0.0 {
             return None;
         }
-        self.unready = self.unready.map(|since| since.saturating_add(elapsed));
         if elapsed > STANDSTILL {
             (self.admitted, self.arrived) = (0, 0);
             return None;
         }
         let gain = (GAIN * seconds).min(1.0);
         self.busy += (usage.most() - self.busy) * gain;
-        self.usage.processor += (usage.processor - self.usage.processor) * gain;
-        self.usage.link += (usage.link - self.usage.link) * gain;
+        self.usage.follow(usage, gain);
+        self.full = match self.link_use() > ADMIT_LESS_ABOVE {
+            true => self.full.saturating_add(elapsed),
+            false => Duration::ZERO,
+        };
         let rate = |count: &mut u32| f64::from(std::mem::take(count)) / seconds;
         let admitted = rate(&mut self.admitted);
         self.admitted_rate += (admitted - self.admitted_rate) * gain;
         let slow = (COST_GAIN * seconds).min(1.0);
-        self.cost_use += (usage.most() - self.cost_use) * slow;
+        self.cost_use += (usage.processor - self.cost_use) * slow;
         self.cost_rate += (admitted - self.cost_rate) * slow;
         self.arrival_rate += (rate(&mut self.arrived) - self.arrival_rate) * gain;
         self.teams
@@ -221,13 +267,16 @@
 
     /// Adapts the limit to the use.
     fn adapt(&mut self, seconds: f64) {
-        if self.busy > ADMIT_LESS_ABOVE {
+        let processor = self.usage.processor.min(MAX_USE);
+        if self.full > FULL_LINK_TIME {
+            self.limit = Some(self.answerable());
+        } else if processor > ADMIT_LESS_ABOVE {
             let known = self.limit.unwrap_or(self.admitted_rate);
             // A limit that isn't reached has no effect.
             let limit = known.min(self.admitted_rate.max(MIN_LIMIT));
             let least = limit.min(FALL_TO_PART * self.affordable()).max(MIN_LIMIT);
             self.limit = Some((limit * FALL.powf(seconds)).max(least));
-        } else if self.busy < ADMIT_MORE_BELOW
+        } else if processor < ADMIT_MORE_BELOW
             && let Some(limit) = self.limit
         {
             let limit = limit * RISE.powf(seconds);
@@ -239,6 +288,19 @@
         }
     }
 
+    /// Returns the use of the link, nine tenths of which count as all of it.
+    fn link_use(&self) -> f64 {
+        self.usage.link / FULL_LINK_PART
+    }
+
+    /// Returns the number of requests per second whose answers fit into what requests leave of the link.
+    fn answerable(&self) -> f64 {
+        let Usage { link, requests, .. } = self.usage;
+        let answers = (link - requests).max(f64::EPSILON);
+        let left = (FULL_LINK_PART - requests).max(MIN_ANSWER_PART);
+        (self.admitted_rate * left / answers).max(MIN_LIMIT)
+    }
+
     /// Returns the number of requests per second that would use everything up, by what requests have cost.
     fn affordable(&self) -> f64 {
         match self.cost_use > 0.0 {
@@ -253,31 +315,40 @@
     }
 
     fn withdraw(&mut self, elapsed: Duration, neighbours: Neighbours) -> Option<bool> {
-        self.calm = match self.busy < CALM_BELOW {
+        self.calm = match is_calm(self.busy) {
             true => self.calm.saturating_add(elapsed),
             false => Duration::ZERO,
         };
-        let most = neighbours.most(match self.resumed {
-            true => MAX_RESUMED_PART,
-            false => MAX_WITHDRAWN_PART,
-        });
         let Some(since) = self.withdrawn else {
+            let for_link = self.link_use() > WITHDRAW_ABOVE;
+            let most = neighbours.most(part(for_link));
             if self.busy > WITHDRAW_ABOVE && neighbours.withdrawn < most {
-                self.withdrawn = Some(Duration::ZERO);
+                (self.withdrawn, self.for_link) = (Some(Duration::ZERO), for_link);
                 return Some(true);
             }
             return None;
         };
         self.withdrawn = Some(since.saturating_add(elapsed));
+        let most = neighbours.most(part(self.for_link || self.resumed));
         // Routers that withdraw at the same time don't know of each other yet.
         let too_many = neighbours.withdrawn + 1 > most && neighbours.before >= most;
-        if too_many || self.calm >= CALM_TIME {
+        if too_many || self.calm >= self.calm_time(neighbours) {
             (self.withdrawn, self.resumed) = (None, false);
             return Some(false);
         }
         None
     }
 
+    /// Returns the time for which a withdrawn router must be calm before it returns.
+    fn calm_time(&self, neighbours: Neighbours) -> Duration {
+        let most = neighbours.most(MAX_AWAY_PART);
+        let wanted = (neighbours.withdrawn + 1 + SPARE_WITHDRAWALS).saturating_sub(most);
+        match neighbours.calm_before < wanted {
+            true => SHORT_CALM_TIME,
+            false => CALM_TIME,
+        }
+    }
+
     /// Returns whether the balancer should send no new connections.
     pub fn is_withdrawn(&self) -> bool {
         self.withdrawn.is_some()
@@ -285,18 +356,7 @@
 
     /// Returns whether the balancer may not know yet that this router has withdrawn.
     pub fn awaits_removal(&self) -> bool {
-        self.removal().is_none_or(|since| since < REMOVAL_TIME)
-    }
-
-    /// Takes over whether the router reports for another reason that it isn't ready: the balancer removes it
-    /// for that as well.
-    pub fn set_unready(&mut self, unready: bool) {
-        self.unready = unready.then(|| self.unready.unwrap_or_default());
-    }
-
-    /// Returns whether the router reports that it isn't ready.
-    pub fn is_unready(&self) -> bool {
-        self.removal().is_some()
+        self.withdrawn.is_none_or(|since| since < REMOVAL_TIME)
     }
 
     /// Takes over that the previous process on this VM wasn't ready for its load: the balancer would send
@@ -306,11 +366,6 @@
         self.withdrawn.get_or_insert(Duration::ZERO);
     }
 
-    /// Returns the time for which the router has reported that it isn't ready.
-    fn removal(&self) -> Option<Duration> {
-        self.withdrawn.max(self.unready)
-    }
-
     /// Returns the average use of the resource that is nearer to its end.
     pub fn busy(&self) -> f64 {
         self.busy
@@ -366,10 +421,10 @@
     /// knows that this one has withdrawn.
     fn refusal(&self) -> Refused {
         let left = self
-            .removal()
+            .withdrawn
             .map(|since| REMOVAL_TIME.saturating_sub(since));
         Refused {
-            retry_after: left.unwrap_or(BURST).max(MIN_RETRY_AFTER),
+            retry_after: left.unwrap_or(RETRY_AFTER_HERE).max(MIN_RETRY_AFTER),
             reconnect: !self.awaits_removal(),
         }
     }
--- a/crates/policy/tests/suite/crowding/data_centre.rs
+++ b/crates/policy/tests/suite/crowding/data_centre.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fescue_core::hash;
-use fescue_policy::crowding::{Arrival, Crowding, Neighbours, Usage};
+use fescue_policy::crowding::{self, Arrival, Crowding, Neighbours, Usage};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -324,6 +324,10 @@
                 routers: all,
                 withdrawn: count(known) - usize::from(known[index].0),
                 before: count(&known[..index]),
+                calm_before: known[..index]
+                    .iter()
+                    .filter(|(away, busy)| *away && crowding::is_calm(*busy))
+                    .count(),
                 busy,
             };
             if step.is_multiple_of(OBSERVE_STEPS) {
@@ -334,6 +338,7 @@
                     let usage = Usage {
                         processor: busy,
                         link: 0.0,
+                        requests: 0.0,
                     };
                     let changed = policy.observe(usage, elapsed, neighbours);
                     router.changes += u32::from(changed.is_some());
