gateway: a full link of its own is no reason to ask again, or to blame upstreams

Refused requests return before the balancer has moved their callers, or all together to the next router; a connection's acceptance waits for the router's own link, and the time-out counted against the upstream. A router with a full link also doesn't learn that others have returned, and believed for 5 to 18 s that it may not withdraw.

Change: refusals at a full link name the time until the removal, spread over 3 s. Connecting may take 1 s there, doesn't count against the upstream, and whether the list of upstreams is current is checked again after it. With a full link for 1 s a router withdraws up to half; for links 0.45 may withdraw; routers that failed within a minute count, as the balancer counts them. The limit at a full link uses slow averages: with fast ones it fell to 5 a second once, at a router with a long queue.

--- a/crates/gateway/src/crowd.rs
+++ b/crates/gateway/src/crowd.rs
@@ -112,6 +112,11 @@
         self.state.lock().is_withdrawn()
     }
 
+    /// Returns the time after which a request that is refused at a full link may come again.
+    pub fn spread_retry(&self) -> Duration {
+        self.state.lock().spread_retry()
+    }
+
     /// Returns whether a caller whose request is refused would reach this router again if it connected
     /// anew.
     pub fn awaits_removal(&self) -> bool {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -147,13 +147,15 @@
     ) -> Result<OpenResponse, Failure> {
         let once = !self.route.repeatable();
         let server = Arc::clone(slot.server());
-        let opened = timeout_at(limit.end, server.connect(once)).await;
+        let link_full = self.gateway.link.is_full();
+        let opened = timeout_at(limit.end, server.connect(once, link_full)).await;
         let mut link = match opened {
             Ok(Ok(link)) => link,
             Ok(Err(error)) => {
                 tracing::info!(request = self.call.id, upstream = %server.entry.id, %error, "can't connect to the upstream");
-                server.record_outcome(self.gateway.now(), false);
-                if matches!(error, LinkError::Refused(_)) {
+                let refused = matches!(error, LinkError::Refused(_));
+                server.record_unreachable(self.gateway.now(), link_full && !refused);
+                if refused {
                     crash_check::record(&self.gateway, &server);
                 }
                 self.return_permit(&slot);
@@ -161,7 +163,8 @@
             }
             Err(_) => return Err(Failure::TimedOut),
         };
-        if self.is_withdrawn(&server) {
+        // Connecting takes long at a full link, through which changes of the upstreams come as well.
+        if self.is_withdrawn(&server) || self.gateway.is_isolated() {
             self.return_permit(&slot);
             server.recycle(link);
             slot.cancel();
@@ -351,7 +354,7 @@
             }
             let message = "no upstream took the request";
             return Refusal::not_run(Reason::NoUpstream, message)
-                .with_retry_after(RETRY_AFTER_DECLINED);
+                .with_retry_after(self.gateway.retry_after(RETRY_AFTER_DECLINED));
         }
         let reason = match failure {
             Failure::TimedOut => Reason::Deadline,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,9 @@
 /// anew after it, which costs one message there and back for each candidate of an outage.
 const CUT_OFF_TTL: Duration = Duration::from_secs(2);
 
+/// Time for which a router that is no longer listed counts as one that the balancer knows.
+const MISSING_TTL: Duration = Duration::from_secs(60);
+
 /// Number of keys whose routers are remembered.
 const MAX_RANKS: usize = 4096;
 
@@ -94,6 +97,8 @@
     answers: HashMap<SocketAddr, Instant>,
     /// When each router was last asked for a sign of life.
     probes: HashMap<SocketAddr, Instant>,
+    /// When each router of the data centre was last listed.
+    seen: HashMap<u64, Instant>,
     /// The routers that keys select, as long as the others stay the same.
     ranks: HashMap<u64, Vec<Home>>,
 }
@@ -110,6 +115,7 @@
             leaving: HashMap::new(),
             answers: HashMap::new(),
             probes: HashMap::new(),
+            seen: HashMap::new(),
             ranks: HashMap::new(),
         }
     }
@@ -122,7 +128,8 @@
         let open = near.clone().filter(|peer| !peer.withdrawn);
         let percent: u32 = open.clone().map(|peer| u32::from(peer.busy_percent)).sum();
         Neighbours {
-            routers: near.count() + 1,
+            routers: near.clone().count() + 1,
+            missing: self.seen.len().saturating_sub(near.count()),
             withdrawn: withdrawn.count(),
             before: before.clone().count(),
             calm_before: before.filter(|peer| peer.is_calm()).count(),
@@ -150,6 +157,10 @@
     pub fn set(&mut self, list: Vec<Peer>, complete: bool) {
         self.list = list;
         self.ranks.clear();
+        let now = Instant::now();
+        let near = self.list.iter().filter(|peer| peer.near);
+        self.seen.extend(near.map(|peer| (peer.member, now)));
+        self.seen.retain(|_, at| at.elapsed() < MISSING_TTL);
         self.complete |= complete;
         let listed = |address: &SocketAddr| self.list.iter().any(|peer| peer.address == *address);
         self.unresponsive.retain(|address, _| listed(address));
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -42,8 +42,7 @@
 /// another router.
 const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(100);
 
-/// `Retry-After` from a router whose link is saturated. It is short because the retry reaches
-/// another router.
+/// The shortest `Retry-After` from a router whose link or memory is used up.
 const RETRY_AFTER_LINK_FULL: Duration = Duration::from_millis(50);
 
 /// The limit on the buffer that is allocated up front for an announced body length.
@@ -91,7 +90,8 @@
     outcome.unwrap_or_else(|refusal| {
         logger.refuse(&refusal);
         let mut response = refusal_response(&refusal);
-        if refusal.reason == Reason::Crowded && gateway.crowd.awaits_removal() {
+        let crowded = matches!(refusal.reason, Reason::Crowded | Reason::Overload);
+        if crowded && gateway.awaits_removal() {
             response.extensions_mut().insert(KeepConnection);
         }
         response
@@ -131,7 +131,7 @@
     let Some(catalog) = gateway.catalog() else {
         let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known yet");
         drain_body(body, arrival + BODY_READ_TIMEOUT).await;
-        return Err(refusal.with_retry_after(RETRY_AFTER_STARTING));
+        return Err(refusal.with_retry_after(gateway.retry_after(RETRY_AFTER_STARTING)));
     };
     let body = tokio::select! {
         biased;
@@ -166,9 +166,8 @@
     }
     if gateway.is_isolated() {
         let message = "the router's link is full, and it doesn't hear which upstreams leave";
-        return Err(
-            Refusal::not_run(Reason::Overload, message).with_retry_after(RETRY_AFTER_LINK_FULL)
-        );
+        let retry_after = gateway.retry_after(RETRY_AFTER_LINK_FULL);
+        return Err(Refusal::not_run(Reason::Overload, message).with_retry_after(retry_after));
     }
     let prints = Prints {
         request: fingerprint(&head, name.as_ref(), &body),
@@ -301,7 +300,7 @@
                     drain_body(body, until).await;
                     let message = "the bodies of open requests take too much memory";
                     return Err(Refusal::not_run(Reason::Overload, message)
-                        .with_retry_after(RETRY_AFTER_LINK_FULL));
+                        .with_retry_after(gateway.retry_after(RETRY_AFTER_LINK_FULL)));
                 }
                 bytes.extend_from_slice(&data);
             }
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -18,6 +18,9 @@
 /// The time-out for connecting to an upstream; twice the longest latency within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The same while this router's own link is full, for which the upstream's acceptance waits.
+const CONNECT_TIMEOUT_LINK_FULL: Duration = Duration::from_secs(1);
+
 /// The longest time that a connection may have been idle when it is reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -154,12 +157,12 @@
     }
 
     /// Takes an idle connection, or opens one if none is fresh enough. `once` says that the request
-    /// may not be repeated.
+    /// may not be repeated, `link_full` that this router's own link is full.
     ///
     /// # Errors
     ///
     /// When no connection is established within the time-out.
-    pub async fn connect(&self, once: bool) -> Result<Link, LinkError> {
+    pub async fn connect(&self, once: bool, link_full: bool) -> Result<Link, LinkError> {
         let longest = if once {
             MAX_IDLE_TIME_UNREPEATABLE
         } else {
@@ -176,7 +179,11 @@
                 }
             }
         }
-        self.reconnect().await
+        let limit = match link_full {
+            true => CONNECT_TIMEOUT_LINK_FULL,
+            false => CONNECT_TIMEOUT,
+        };
+        Link::open(self.entry.address, limit).await
     }
 
     /// Opens a connection.
@@ -201,6 +208,14 @@
         });
     }
 
+    /// Records that a connection was not established in time, for which the upstream isn't the cause if
+    /// this router's own link is full.
+    pub fn record_unreachable(&self, now: Duration, link_full: bool) {
+        if !link_full {
+            self.record_outcome(now, false);
+        }
+    }
+
     /// Records the outcome of a request in the circuit breaker.
     pub fn record_outcome(&self, now: Duration, good: bool) {
         self.state.lock().breaker.record(now, good);
--- a/crates/gateway/tests/suite/upstreams.rs
+++ b/crates/gateway/tests/suite/upstreams.rs
@@ -91,3 +91,22 @@
     }
     assert_eq!(chosen(&servers), Some("a".to_owned()));
 }
+
+/// A connection that times out while the router's own link is full says nothing of the upstream. Guards against
+/// sound upstreams that get no requests from a crowded router.
+#[tokio::test(start_paused = true)]
+async fn upstream_is_not_blamed_for_the_routers_full_link() {
+    for link_full in [true, false] {
+        let mut servers = Servers::default();
+        servers.put(upstream("a", false));
+        servers.put(upstream("b", false));
+        let slot = acquire(&servers).expect("an upstream");
+        let server = slot.server().clone();
+        slot.cancel();
+        for _ in 0..20 {
+            server.record_unreachable(Duration::ZERO, link_full);
+        }
+        let again = chosen(&servers) == Some(server.entry.id.to_string());
+        assert_eq!(again, link_full);
+    }
+}
--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -35,15 +35,21 @@
 /// The same, while nearly as many routers have withdrawn as may: what waits for the link is gone by then.
 const SHORT_CALM_TIME: Duration = Duration::from_secs(3);
 
-/// The number of withdrawals up to [`MAX_AWAY_PART`] that are kept for routers that will need one.
-const SPARE_WITHDRAWALS: usize = 2;
+/// The number of withdrawals up to [`MAX_LINK_PART`] that are kept for routers that will need one.
+const SPARE_WITHDRAWALS: usize = 1;
 
 /// The part of a data centre's routers that may withdraw for their processors at the same time.
 const MAX_WITHDRAWN_PART: f64 = 0.25;
 
-/// The part that may withdraw for their links or stay withdrawn after a restart, together with the others: the
-/// balancer uses all routers if fewer than half are ready.
-const MAX_AWAY_PART: f64 = 0.4;
+/// The part that may stay withdrawn after a restart, together with the others.
+const MAX_RESUMED_PART: f64 = 0.4;
+
+/// The part that may withdraw for their links, together with the others: the balancer uses all routers if fewer
+/// than half are ready.
+const MAX_LINK_PART: f64 = 0.45;
+
+/// The part that the balancer lets be away.
+const HALF: f64 = 0.5;
 
 /// The average use of a data centre's routers above which none withdraws: the others couldn't take its
 /// callers.
@@ -58,10 +64,22 @@
 /// The time after which it may come again if the balancer will send it to this router.
 const RETRY_AFTER_HERE: Duration = Duration::from_secs(1);
 
+/// The time over which requests that are refused at a full link come again: all at once, they would fill the
+/// link of the next router.
+const RETRY_SPREAD: Duration = Duration::from_secs(3);
+
+/// The step by which successive refusals are spread, as a part of [`RETRY_SPREAD`]: the golden section leaves
+/// the largest gaps between them.
+const SPREAD_STEP: f64 = 0.618_034;
+
 /// The time for which the link must be full before answers are limited: by then the balancer has removed the
 /// router, and what waited for the link has crossed it.
 const FULL_LINK_TIME: Duration = Duration::from_secs(5);
 
+/// The time for which the link must be full before what is known of the other routers, which comes through it,
+/// may be out of date.
+const STALE_NEIGHBOURS_TIME: Duration = Duration::from_secs(1);
+
 /// The part of the link that is left to answers at least.
 const MIN_ANSWER_PART: f64 = 0.15;
 
@@ -115,12 +133,16 @@
     busy < CALM_BELOW
 }
 
-/// Returns the part of a data centre's routers that may withdraw for their links, or for their processors.
-fn part(for_link: bool) -> f64 {
-    match for_link {
-        true => MAX_AWAY_PART,
-        false => MAX_WITHDRAWN_PART,
-    }
+/// Why a router withdraws, which decides how many may.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Cause {
+    #[default]
+    Processor,
+    Link,
+    /// The link is full, and what is known of the others may be out of date.
+    FullLink,
+    /// The previous process had withdrawn.
+    Restart,
 }
 
 /// A request to be admitted.
@@ -172,6 +194,8 @@
 pub struct Neighbours {
     /// Number of routers, this one included.
     pub routers: usize,
+    /// Number of routers that were there a short time ago: the balancer still counts them.
+    pub missing: usize,
     /// Number of other routers that have withdrawn.
     pub withdrawn: usize,
     /// Number of those that precede this one in an order that all routers share.
@@ -183,10 +207,19 @@
 }
 
 impl Neighbours {
-    /// Returns how many routers may have withdrawn at the same time, as that part of all.
-    fn most(self, part: f64) -> usize {
+    /// Returns how many routers may have withdrawn at the same time.
+    fn most(self, cause: Cause) -> usize {
+        let part = match cause {
+            Cause::Processor => MAX_WITHDRAWN_PART,
+            Cause::Link => MAX_LINK_PART,
+            Cause::Restart => MAX_RESUMED_PART,
+            Cause::FullLink => HALF,
+        };
         match self.busy < NEIGHBOURS_FULL_ABOVE {
-            true => (self.routers as f64 * part) as usize,
+            true => {
+                let all = self.routers + self.missing;
+                ((all as f64 * part) as usize).saturating_sub(self.missing)
+            }
             false => 0,
         }
     }
@@ -199,22 +232,24 @@
     busy: f64,
     /// The average use of each resource.
     usage: Usage,
-    /// Slower averages of the use and of the admitted requests per second.
+    /// Slower averages of the processor's use and of the admitted requests per second.
     cost_use: f64,
     cost_rate: f64,
+    /// The same of the part of the link that answers use.
+    cost_answers: f64,
     /// The time since the withdrawal; `None` while new connections are taken.
     withdrawn: Option<Duration>,
     calm: Duration,
     /// The time for which the link has been full.
     full: Duration,
-    /// Whether the router has withdrawn for its link.
-    for_link: bool,
-    /// Whether the previous process had withdrawn, and this one has stayed so.
-    resumed: bool,
+    /// Why the router has withdrawn.
+    cause: Cause,
     /// The limit on admitted requests per second; `None` while all are admitted.
     limit: Option<f64>,
     /// The unused admissions.
     unused: f64,
+    /// The place of the latest refusal within the time over which refusals are spread.
+    spread: f64,
     /// Requests admitted since the last observation.
     admitted: u32,
     /// Requests that arrived since the last observation.
@@ -256,6 +291,8 @@
         let slow = (COST_GAIN * seconds).min(1.0);
         self.cost_use += (usage.processor - self.cost_use) * slow;
         self.cost_rate += (admitted - self.cost_rate) * slow;
+        let answers = (usage.link - usage.requests).max(0.0);
+        self.cost_answers += (answers - self.cost_answers) * slow;
         self.arrival_rate += (rate(&mut self.arrived) - self.arrival_rate) * gain;
         self.teams
             .values_mut()
@@ -295,10 +332,9 @@
 
     /// Returns the number of requests per second whose answers fit into what requests leave of the link.
     fn answerable(&self) -> f64 {
-        let Usage { link, requests, .. } = self.usage;
-        let answers = (link - requests).max(f64::EPSILON);
-        let left = (FULL_LINK_PART - requests).max(MIN_ANSWER_PART);
-        (self.admitted_rate * left / answers).max(MIN_LIMIT)
+        let left = (FULL_LINK_PART - self.usage.requests).max(MIN_ANSWER_PART);
+        let answers = self.cost_answers.max(f64::EPSILON);
+        (self.cost_rate * left / answers).max(MIN_LIMIT)
     }
 
     /// Returns the number of requests per second that would use everything up, by what requests have cost.
@@ -320,28 +356,38 @@
             false => Duration::ZERO,
         };
         let Some(since) = self.withdrawn else {
-            let for_link = self.link_use() > WITHDRAW_ABOVE;
-            let most = neighbours.most(part(for_link));
-            if self.busy > WITHDRAW_ABOVE && neighbours.withdrawn < most {
-                (self.withdrawn, self.for_link) = (Some(Duration::ZERO), for_link);
+            let cause = self.cause();
+            if self.busy > WITHDRAW_ABOVE && neighbours.withdrawn < neighbours.most(cause) {
+                (self.withdrawn, self.cause) = (Some(Duration::ZERO), cause);
                 return Some(true);
             }
             return None;
         };
         self.withdrawn = Some(since.saturating_add(elapsed));
-        let most = neighbours.most(part(self.for_link || self.resumed));
+        let most = neighbours.most(self.cause);
         // Routers that withdraw at the same time don't know of each other yet.
         let too_many = neighbours.withdrawn + 1 > most && neighbours.before >= most;
         if too_many || self.calm >= self.calm_time(neighbours) {
-            (self.withdrawn, self.resumed) = (None, false);
+            self.withdrawn = None;
             return Some(false);
         }
         None
     }
 
+    /// Returns why this router would withdraw now.
+    fn cause(&self) -> Cause {
+        if self.full > STALE_NEIGHBOURS_TIME {
+            Cause::FullLink
+        } else if self.link_use() > WITHDRAW_ABOVE {
+            Cause::Link
+        } else {
+            Cause::Processor
+        }
+    }
+
     /// Returns the time for which a withdrawn router must be calm before it returns.
     fn calm_time(&self, neighbours: Neighbours) -> Duration {
-        let most = neighbours.most(MAX_AWAY_PART);
+        let most = neighbours.most(Cause::Link);
         let wanted = (neighbours.withdrawn + 1 + SPARE_WITHDRAWALS).saturating_sub(most);
         match neighbours.calm_before < wanted {
             true => SHORT_CALM_TIME,
@@ -362,8 +408,9 @@
     /// Takes over that the previous process on this VM wasn't ready for its load: the balancer would send
     /// the same callers as before.
     pub fn resume(&mut self) {
-        self.resumed = self.withdrawn.is_none();
-        self.withdrawn.get_or_insert(Duration::ZERO);
+        if self.withdrawn.is_none() {
+            (self.withdrawn, self.cause) = (Some(Duration::ZERO), Cause::Restart);
+        }
     }
 
     /// Returns the average use of the resource that is nearer to its end.
@@ -417,14 +464,29 @@
         }
     }
 
-    /// Returns what the caller of a refused request is told: it reaches another router once the balancer
-    /// knows that this one has withdrawn.
-    fn refusal(&self) -> Refused {
+    /// Returns the time until a refused request reaches another router: once the balancer knows that this one
+    /// has withdrawn.
+    fn removal_in(&self) -> Duration {
         let left = self
             .withdrawn
             .map(|since| REMOVAL_TIME.saturating_sub(since));
+        left.unwrap_or(RETRY_AFTER_HERE).max(MIN_RETRY_AFTER)
+    }
+
+    /// Returns the time after which a request that is refused at a full link may come again.
+    pub fn spread_retry(&mut self) -> Duration {
+        self.spread = (self.spread + SPREAD_STEP).fract();
+        self.removal_in() + RETRY_SPREAD.mul_f64(self.spread)
+    }
+
+    /// Returns what the caller of a refused request is told.
+    fn refusal(&mut self) -> Refused {
+        let retry_after = match self.full > FULL_LINK_TIME {
+            true => self.spread_retry(),
+            false => self.removal_in(),
+        };
         Refused {
-            retry_after: left.unwrap_or(RETRY_AFTER_HERE).max(MIN_RETRY_AFTER),
+            retry_after,
             reconnect: !self.awaits_removal(),
         }
     }
--- a/crates/policy/tests/suite/small_links/data_centre.rs
+++ b/crates/policy/tests/suite/small_links/data_centre.rs
@@ -494,6 +494,7 @@
                 let neighbours = Neighbours {
                     routers,
                     withdrawn: count(&known) - usize::from(known[index].0),
+                    missing: 0,
                     before: count(&known[..index]),
                     calm_before: known[..index]
                         .iter()
