feeds: a router with a full link asks for changes in short intervals

Cause: a call for changes waits a second at the store, its answer then waits for the link, and 1.7 s after the call it is given up; with 0.7 s of queue every call fails, and connecting anew, within 0.5 s, does too. The age of the list counted from the answer's arrival, and had to be below 1.8 s whatever the platform allows.

Change: at a full link the call asks the store to wait 0.2 s, within the same limit, so that answers may wait 1.5 s for the link. The list's age counts from what the answer is as of, which is stricter, and may be what the platform allows (drain_ms, from its drain_timeout_ms; 2 s if not set) less 0.2 s.

Test: full_link_is_no_isolation_while_answers_come (isolated at a delay of 1 s before).

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -14,6 +14,9 @@
 /// Time one call waits for changes; a dead connection is detected shortly after it.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The same while this router's link is full: the answer waits for the link as well.
+const POLL_TIMEOUT_LINK_FULL: Duration = Duration::from_millis(200);
+
 /// Delay after the first failed call.
 const BASE_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -59,13 +62,13 @@
 impl Follower {
     async fn step(&mut self) {
         let started = Instant::now();
+        let wait = match self.gateway.link.is_full() {
+            true => POLL_TIMEOUT_LINK_FULL,
+            false => LONG_POLL_TIMEOUT,
+        };
         let read = match self.version {
             None => self.registry.list(self.topic).await,
-            Some(after) => {
-                self.registry
-                    .changes(self.topic, after, LONG_POLL_TIMEOUT)
-                    .await
-            }
+            Some(after) => self.registry.changes(self.topic, after, wait).await,
         };
         let call = match self.version {
             None => "list",
@@ -73,7 +76,12 @@
         };
         self.gateway.metrics.count_store(call, read.is_ok());
         match read {
-            Ok(batch) => self.apply_batch(batch),
+            Ok(batch) => {
+                // The store answers at once, or after the wait if there is nothing new.
+                let waited = self.version.is_some() && batch.entries.is_empty();
+                let read_at = if waited { started + wait } else { started };
+                self.apply_batch(batch, read_at.min(Instant::now()));
+            }
             Err(RegistryError::Compacted) => {
                 tracing::info!(topic = ?self.topic, "change history compacted; listing again");
                 self.version = None;
@@ -83,7 +91,7 @@
         self.drop_expired();
     }
 
-    fn apply_batch(&mut self, batch: Batch) {
+    fn apply_batch(&mut self, batch: Batch, read_at: Instant) {
         self.recovered = self.failures > 0;
         if self.recovered {
             tracing::info!(topic = ?self.topic, failures = self.failures, "store reachable again");
@@ -107,7 +115,7 @@
         }
         self.version = Some(batch.version);
         if self.topic == Topic::Upstreams {
-            self.gateway.note_synced();
+            self.gateway.note_synced(read_at);
         }
         let count = self.gateway.servers.lock().len();
         self.gateway.metrics.upstreams.set(count as i64);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,10 +42,6 @@
 
 pub use guards::RequestGuard;
 
-/// The greatest age of the list of upstreams at a router whose link is full. It is well under the
-/// time within which a leaving upstream must get no new work.
-const MAX_SYNC_AGE: Duration = Duration::from_millis(1800);
-
 /// The part of each response body that doesn't count against the limit on all of them, and that limit.
 const ORDINARY_RESPONSE_BYTES: usize = 64 << 10;
 const RESPONSE_BYTES: usize = 16 << 20;
@@ -318,9 +314,9 @@
         self.outbox.push(changed);
     }
 
-    /// Records that the list of upstreams is as current as the store's.
-    pub fn note_synced(&self) {
-        *self.last_sync.lock() = Instant::now();
+    /// Records that the list of upstreams was as current as the store's at some time.
+    pub fn note_synced(&self, at: Instant) {
+        *self.last_sync.lock() = at;
     }
 
     /// Returns whether this router may miss changes that other routers see: its own link is full and
@@ -328,7 +324,8 @@
     /// the store can't be told apart from this here; routers whose links have room keep using the
     /// list that they know until the outage ends.
     pub fn is_isolated(&self) -> bool {
-        self.link.is_full() && self.last_sync.lock().elapsed() > MAX_SYNC_AGE
+        let age = self.last_sync.lock().elapsed();
+        self.link.is_full() && age > self.settings.max_sync_age()
     }
 
     /// Records a caller's new connection.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,10 @@
     #[serde(rename = "relist_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub relist: Duration,
+    /// Time after which an upstream whose leaving the store knows must get no requests.
+    #[serde(rename = "drain_ms", default = "default_drain")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub drain: Duration,
     /// Capacity of the VM's network link each way, in megabits per second; above zero.
     pub link_mbps: f64,
     /// Whether the router withdraws and refuses requests when the processor or the link is nearly used up. To
@@ -50,6 +54,14 @@
     true
 }
 
+/// The time by which the list of upstreams at a router whose link is full must be younger than
+/// [`Settings::drain`].
+const SYNC_MARGIN: Duration = Duration::from_millis(200);
+
+fn default_drain() -> Duration {
+    Duration::from_secs(2)
+}
+
 /// The settings that can change while the process runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
@@ -124,6 +136,11 @@
         })
     }
 
+    /// Returns the greatest age of the list of upstreams at a router whose link is full.
+    pub fn max_sync_age(&self) -> Duration {
+        self.drain.saturating_sub(SYNC_MARGIN)
+    }
+
     /// Returns the settings that can change while the process runs.
     pub fn tuning(&self) -> Tuning {
         Tuning {
@@ -141,6 +158,7 @@
             ("data_centre", self.data_centre != other.data_centre),
             ("listen", self.listen != other.listen),
             ("store", self.store != other.store),
+            ("drain_ms", self.drain != other.drain),
             ("crowding", self.crowding != other.crowding),
             ("log", self.log != other.log),
         ];
@@ -151,12 +169,19 @@
     /// Rejects values outside their valid range.
     fn check(self) -> Result<Self, serde_json::Error> {
         let Self {
-            link_mbps, retries, ..
+            drain,
+            link_mbps,
+            retries,
+            ..
         } = &self;
         let fault = |message: String| Err(serde::de::Error::custom(message));
         if *link_mbps <= 0.0 {
             return fault(format!("link_mbps: {link_mbps} is not above zero"));
         }
+        if *drain <= SYNC_MARGIN {
+            let least = SYNC_MARGIN.as_millis();
+            return fault(format!("drain_ms: must be above {least}"));
+        }
         if retries.ratio < 0.0 || retries.extra < 0.0 {
             return fault("retries: ratio and extra must not be below zero".to_owned());
         }
--- a/crates/gateway/tests/suite/feeds.rs
+++ b/crates/gateway/tests/suite/feeds.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use tokio::time::{advance, sleep};
 
-use super::site::{Store, gateway, manifest};
+use super::site::{Store, gateway, gateway_with, manifest, settings_text};
 use super::upstreams::upstream;
 
 /// A call, and its answer.
@@ -316,3 +316,54 @@
         assert_eq!(catalog.manifest().version, 4);
     }
 }
+
+/// Answers wait for the router's link for a time, after the store has waited for changes.
+struct Delayed(Duration);
+
+#[async_trait]
+impl Registry for Delayed {
+    async fn list(&self, _topic: Topic) -> Result<Batch, RegistryError> {
+        sleep(self.0).await;
+        batch(1, 10, Vec::new())
+    }
+
+    async fn changes(
+        &self,
+        _topic: Topic,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Batch, RegistryError> {
+        sleep(wait + self.0).await;
+        batch(1, after, Vec::new())
+    }
+}
+
+/// A router whose full link delays the store's answers by a second keeps its list of upstreams younger than
+/// the three seconds that it may be old; with two seconds it can't. Guards against refusals by routers that
+/// could know which upstreams leave.
+#[tokio::test(start_paused = true)]
+async fn full_link_is_no_isolation_while_answers_come() {
+    for (delay, isolated) in [(1000, false), (2000, true)] {
+        let mut settings = settings_text("vm-1");
+        settings["link_mbps"] = 10.into();
+        settings["drain_ms"] = 3000.into();
+        let gateway = gateway_with(&settings, &Store::open(1));
+        let fill = || {
+            gateway.link.count_read(125_000);
+            gateway.link.sample(Duration::from_millis(100));
+        };
+        (0..20).for_each(|_| fill());
+        let registry = Arc::new(Delayed(Duration::from_millis(delay)));
+        let feed = follow(Arc::clone(&gateway), registry, Topic::Upstreams);
+        let feed = tokio::spawn(feed);
+        sleep(Duration::from_secs(5)).await;
+        let mut seen = false;
+        for _ in 0..200 {
+            sleep(Duration::from_millis(100)).await;
+            fill();
+            seen |= gateway.is_isolated();
+        }
+        assert_eq!(seen, isolated, "{delay} ms");
+        feed.abort();
+    }
+}
--- a/crates/gateway/tests/suite/reload.rs
+++ b/crates/gateway/tests/suite/reload.rs
@@ -78,7 +78,9 @@
     let mut wrong = settings_text("vm-1");
     wrong["link_mbps"] = 0.into();
     wrong["grace_s"] = 1.into();
-    for text in ["{\"vm\": ", &wrong.to_string()] {
+    let mut short = settings_text("vm-1");
+    short["drain_ms"] = 200.into();
+    for text in ["{\"vm\": ", &wrong.to_string(), &short.to_string()] {
         watched.write(text);
         watched.wait_for_poll().await;
         assert_eq!(watched.gateway.tuning(), before);
