crowding: a full processor counts beside a full link

Cause: read in review. At a link that had been full for 5 s the limit looked at the link only, also if the processor was full.

Change: the lower one of both limits applies.

Test: limit_of_full_link_counts_a_full_processor (failed before: equal limits).

--- a/crates/policy/src/crowding.rs
+++ b/crates/policy/src/crowding.rs
@@ -133,7 +133,7 @@
     busy < CALM_BELOW
 }
 
-/// Why a router withdraws, which decides how many may.
+/// Why a router withdraws, which decides how many may do so.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Cause {
     #[default]
@@ -306,7 +306,11 @@
     fn adapt(&mut self, seconds: f64) {
         let processor = self.usage.processor.min(MAX_USE);
         if self.full > FULL_LINK_TIME {
-            self.limit = Some(self.answerable());
+            let limit = self.answerable();
+            self.limit = Some(match processor > ADMIT_LESS_ABOVE {
+                true => limit.min(FALL_TO_PART * self.affordable()).max(MIN_LIMIT),
+                false => limit,
+            });
         } else if processor > ADMIT_LESS_ABOVE {
             let known = self.limit.unwrap_or(self.admitted_rate);
             // A limit that isn't reached has no effect.
--- a/crates/policy/tests/suite/crowding.rs
+++ b/crates/policy/tests/suite/crowding.rs
@@ -196,6 +196,29 @@
     assert!(longest <= Some(Duration::from_millis(2200)), "{longest:?}");
 }
 
+/// The limit of a router whose link stays full leaves room in its processor as well. Guards against work that
+/// waits for a full processor because the link would carry more.
+#[test]
+fn limit_of_full_link_counts_a_full_processor() {
+    let limit = |processor: f64| {
+        let mut crowding = Crowding::default();
+        for _ in 0..200 {
+            for _ in 0..20 {
+                let _ = crowding.admit(Arrival { team: 1, rank: 0 });
+            }
+            let usage = Usage {
+                processor,
+                link: 1.0,
+                requests: 0.1,
+            };
+            crowding.observe(usage, Duration::from_millis(100), NEIGHBOURS);
+        }
+        crowding.limit().unwrap_or(f64::INFINITY)
+    };
+    let (idle, full) = (limit(0.1), limit(1.4));
+    assert!(full < 0.6 * idle, "{idle} {full}");
+}
+
 /// A router with a full link withdraws although a quarter has, never beyond a half, and the balancer removes it:
 /// callers leave it 2.2 s later as well. Guards against callers that stay at a router with a full link, and
 /// against a data centre with fewer than half of its routers in rotation.
