--- a/crates/policy/tests/suite/small_links.rs
+++ b/crates/policy/tests/suite/small_links.rs
@@ -1,8 +1,11 @@
 //! A caller that is larger than the link of a small router, in a data centre with few large links.
 
 mod data_centre;
+mod report;
+mod requests;
 
-use data_centre::{DataCentre, LARGE};
+use data_centre::DataCentre;
+use report::LARGE;
 
 /// 25 routers with 10 Mbit/s and two with 200, in megabits per second.
 fn links(large: [usize; 2]) -> Vec<f64> {
--- a/crates/policy/tests/suite/small_links/data_centre.rs
+++ b/crates/policy/tests/suite/small_links/data_centre.rs
@@ -6,7 +6,6 @@
 //! time that they have left.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt;
 use std::time::Duration;
 
 use fescue_core::hash;
@@ -15,6 +14,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::report::{LARGE, Report, SMALL_CALLERS};
+use super::requests::{KINDS, Request};
+
 /// Milliseconds of one step, and steps between two observations of a router.
 const STEP_MS: u64 = 10;
 const OBSERVE_STEPS: u64 = 10;
@@ -43,93 +45,9 @@
 const BURST: (f64, f64) = (2.5, 9.0);
 const BURST_FACTOR: f64 = 2.2;
 
-/// Number of callers with few requests, and what each sends in a second.
-const SMALL_CALLERS: usize = 60;
+/// What each caller with few requests sends in a second.
 const SMALL_RATE: f64 = 2.0;
 
-/// The place of the large caller.
-pub const LARGE: usize = 0;
-
-/// A kind of request.
-struct Kind {
-    /// Its part of all requests.
-    part: f64,
-    rank: u8,
-    /// Bytes from the caller, and from the upstream.
-    request: f64,
-    answer: f64,
-    /// Milliseconds for which the upstream works, and after which the caller gives up.
-    work_ms: u64,
-    target_ms: u64,
-    deadline_ms: u64,
-    /// What an answer is worth in time, and late.
-    worth: (f64, f64),
-}
-
-/// Long and short streams, classifications, and calls of a plain service.
-const KINDS: [Kind; 4] = [
-    Kind {
-        part: 0.18,
-        rank: 2,
-        request: 12_600.0,
-        answer: 5000.0,
-        work_ms: 1000,
-        target_ms: 1200,
-        deadline_ms: 12_000,
-        worth: (1.8, 0.8),
-    },
-    Kind {
-        part: 0.15,
-        rank: 0,
-        request: 1400.0,
-        answer: 4500.0,
-        work_ms: 800,
-        target_ms: 400,
-        deadline_ms: 10_000,
-        worth: (5.1, 0.62),
-    },
-    Kind {
-        part: 0.41,
-        rank: 1,
-        request: 3000.0,
-        answer: 600.0,
-        work_ms: 150,
-        target_ms: 400,
-        deadline_ms: 2500,
-        worth: (0.27, 0.08),
-    },
-    Kind {
-        part: 0.26,
-        rank: 2,
-        request: 1000.0,
-        answer: 1200.0,
-        work_ms: 20,
-        target_ms: 120,
-        deadline_ms: 600,
-        worth: (1.0, 0.3),
-    },
-];
-
-#[derive(Clone, Copy)]
-struct Request {
-    caller: usize,
-    kind: usize,
-    retried: bool,
-    since_ms: u64,
-    /// Whether its first event came in time.
-    in_time: bool,
-}
-
-impl Request {
-    fn kind(&self) -> &'static Kind {
-        &KINDS[self.kind]
-    }
-
-    fn deadline_ms(&self) -> u64 {
-        self.since_ms + self.kind().deadline_ms
-    }
-}
-
 /// What waits for a link, or crosses it.
 #[derive(Clone, Copy)]
 enum Transfer {
@@ -173,61 +91,6 @@
     }
 }
 
-/// What became of the requests of a run.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    offered: Vec<f64>,
-    answered: Vec<f64>,
-    /// What the requests were worth, and what was earned.
-    owed: Vec<f64>,
-    earned: Vec<f64>,
-    /// The largest number of routers that the balancer had removed at the same time.
-    pub removed: usize,
-}
-
-impl Report {
-    fn open() -> Self {
-        let none = vec![0.0; SMALL_CALLERS + 1];
-        Self {
-            offered: none.clone(),
-            answered: none.clone(),
-            owed: none.clone(),
-            earned: none,
-            removed: 0,
-        }
-    }
-
-    /// Returns the part of a caller's requests that were answered before it gave up.
-    pub fn served(&self, caller: usize) -> f64 {
-        self.answered[caller] / self.offered[caller]
-    }
-
-    /// Returns the same of all small callers.
-    pub fn others(&self) -> f64 {
-        let others = LARGE + 1..;
-        self.answered[others.clone()].iter().sum::<f64>() / self.offered[others].iter().sum::<f64>()
-    }
-
-    /// Returns the part of what is owed to all callers that they got; late answers are worth less.
-    pub fn credit(&self) -> f64 {
-        self.earned.iter().sum::<f64>() / self.owed.iter().sum::<f64>()
-    }
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (large, others) = (self.served(LARGE), self.others());
-        write!(
-            f,
-            "{large:.2} of the large caller's requests served, {others:.2} of the others'; {:.2} of all credit, {:.2} \
-             of the large caller's; {} removed at most",
-            self.credit(),
-            self.earned[LARGE] / self.owed[LARGE],
-            self.removed
-        )
-    }
-}
-
 /// What happens at a later step: a request is sent again, or something arrives before a router's link.
 enum Event {
     Send(Request),
