--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -153,10 +153,11 @@
             Ok(Ok(link)) => link,
             Ok(Err(error)) => {
                 tracing::info!(request = self.call.id, upstream = %server.entry.id, %error, "can't connect to the upstream");
-                let refused = matches!(error, LinkError::Refused(_));
-                server.record_unreachable(self.gateway.now(), link_full && !refused);
-                if refused {
+                if matches!(error, LinkError::Refused(_)) {
+                    server.record_outcome(self.gateway.now(), false);
                     crash_check::record(&self.gateway, &server);
+                } else {
+                    server.record_unreachable(self.gateway.now(), link_full);
                 }
                 self.return_permit(&slot);
                 return Err(Failure::NotSent);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -64,9 +64,7 @@
             ..self
         }
     }
-}
 
-impl Peer {
     /// Returns whether it is calm, by what it said of its use.
     fn is_calm(&self) -> bool {
         crowding::is_calm(f64::from(self.busy_percent) / 100.0)
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -183,12 +183,10 @@
     }
 }
 
-/// Guards against a whole team that waits for its home, which the store refuses, while most routers could
-/// draw: the path is there at first, is lost, and comes back.
-#[tokio::test(start_paused = true)]
-async fn home_refused_by_the_store_is_replaced() {
-    let mut site = Site::start(1, ROUTERS, PREPAID).await;
-    site.cut_soon([0], Reach::Refused);
+/// Cuts a team's home off from the store for 8 s, as `reach` says: its requests are served meanwhile and afterwards.
+async fn assert_cut_off_home_is_replaced(seed: u64, reach: Reach) {
+    let mut site = Site::start(seed, ROUTERS, PREPAID).await;
+    site.cut_soon([0], reach);
     let (cut, counts, writes) = site.measure("cut", 8 * SECOND).await;
     site.cut_soon([0], Reach::Open);
     let (back, ..) = site.measure("back", 5 * SECOND).await;
@@ -198,18 +196,17 @@
     assert!(writes.len() <= 3, "{writes:?}");
 }
 
+/// Guards against a whole team that waits for its home, which the store refuses, while most routers could
+/// draw: the path is there at first, is lost, and comes back.
+#[tokio::test(start_paused = true)]
+async fn home_refused_by_the_store_is_replaced() {
+    assert_cut_off_home_is_replaced(1, Reach::Refused).await;
+}
+
 /// As before, but the home's calls fail only after a time, in which its license runs dry.
 #[tokio::test(start_paused = true)]
 async fn home_without_answers_of_the_store_is_replaced() {
-    let mut site = Site::start(2, ROUTERS, PREPAID).await;
-    site.cut_soon([0], Reach::Silent);
-    let (cut, counts, writes) = site.measure("cut", 8 * SECOND).await;
-    site.cut_soon([0], Reach::Open);
-    let (back, ..) = site.measure("back", 5 * SECOND).await;
-    cut.assert_served(0.0);
-    back.assert_served(0.0);
-    assert!(counts.asks <= 3 * cut.requests / 2, "{counts:?}");
-    assert!(writes.len() <= 3, "{writes:?}");
+    assert_cut_off_home_is_replaced(2, Reach::Silent).await;
 }
 
 /// Guards against a team that starts while its home has no path: the home has no license to give from.
--- a/crates/policy/tests/suite/crowding.rs
+++ b/crates/policy/tests/suite/crowding.rs
@@ -248,10 +248,7 @@
         withdrawn: 31,
         ..NEIGHBOURS
     };
-    let mut crowding = Crowding::default();
-    for _ in 0..40 {
-        crowding.observe(usage, Duration::from_millis(100), most);
-    }
+    let crowding = observe_for(40, usage, most);
     assert!(!crowding.is_withdrawn());
     assert!(crowding.awaits_removal());
 }
@@ -271,10 +268,7 @@
             before: withdrawn,
             ..NEIGHBOURS
         };
-        let mut crowding = Crowding::default();
-        for _ in 0..100 {
-            crowding.observe(usage, Duration::from_millis(100), neighbours);
-        }
+        let crowding = observe_for(100, usage, neighbours);
         assert_eq!(crowding.is_withdrawn(), withdraws, "{withdrawn} others");
     }
 }
@@ -295,10 +289,7 @@
             withdrawn,
             ..NEIGHBOURS
         };
-        let mut crowding = Crowding::default();
-        for _ in 0..30 {
-            crowding.observe(usage, Duration::from_millis(100), neighbours);
-        }
+        let crowding = observe_for(30, usage, neighbours);
         assert_eq!(crowding.is_withdrawn(), withdraws, "{withdrawn} others");
     }
 }
@@ -360,6 +351,15 @@
     }
 }
 
+/// Observes the same use for some tenths of a second on a new router.
+fn observe_for(tenths: u32, usage: Usage, neighbours: Neighbours) -> Crowding {
+    let mut crowding = Crowding::default();
+    for _ in 0..tenths {
+        crowding.observe(usage, Duration::from_millis(100), neighbours);
+    }
+    crowding
+}
+
 /// Observes a tenth of a second on one of 63 routers.
 fn observe(crowding: &mut Crowding, processor: f64, link: f64) -> Option<bool> {
     let usage = Usage {
--- a/crates/policy/tests/suite/crowding/data_centre.rs
+++ b/crates/policy/tests/suite/crowding/data_centre.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use fescue_core::hash;
-use fescue_policy::crowding::{self, Arrival, Crowding, Neighbours, Usage};
+use fescue_policy::crowding::{Arrival, Crowding, Usage};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::neighbours::{Told, count_withdrawn, neighbours};
+
 /// One step of the simulation.
 const STEP: f64 = 0.01;
 
@@ -135,7 +137,7 @@
     /// The idle connections of each caller, by router.
     idle: Vec<Vec<usize>>,
     /// Which routers had withdrawn in the last second, and their use, by step.
-    history: VecDeque<Vec<(bool, f64)>>,
+    history: VecDeque<Vec<Told>>,
     rng: StdRng,
 }
 
@@ -304,33 +306,19 @@
             .iter()
             .map(|router| (is_withdrawn(router), use_of(router)));
         let now: Vec<_> = now.collect();
-        report.withdrawn = count(&now);
+        report.withdrawn = count_withdrawn(&now);
         self.history.push_back(now);
         if self.history.len() > KNOWN_AFTER_STEPS {
             self.history.pop_front();
         }
         let known = &self.history[0];
-        let open = known.iter().filter(|(withdrawn, _)| !withdrawn);
-        let busy = open.clone().map(|(_, busy)| busy).sum::<f64>() / open.count() as f64;
         let removed = self.routers.iter().filter(|router| !router.in_rotation);
         report.removed = report.removed.max(removed.count());
-        let all = self.routers.len();
         for (index, router) in self.routers.iter_mut().enumerate() {
             router.backlog += router.coming.pop_front().unwrap_or_default();
             let done = router.backlog.min(STEP);
             router.backlog -= done;
             router.used += done;
-            let neighbours = Neighbours {
-                routers: all,
-                withdrawn: count(known) - usize::from(known[index].0),
-                missing: 0,
-                before: count(&known[..index]),
-                calm_before: known[..index]
-                    .iter()
-                    .filter(|(away, busy)| *away && crowding::is_calm(*busy))
-                    .count(),
-                busy,
-            };
             if step.is_multiple_of(OBSERVE_STEPS) {
                 let elapsed = STEP * f64::from(OBSERVE_STEPS);
                 let busy = std::mem::take(&mut router.used) / elapsed;
@@ -341,7 +329,7 @@
                         link: 0.0,
                         requests: 0.0,
                     };
-                    let changed = policy.observe(usage, elapsed, neighbours);
+                    let changed = policy.observe(usage, elapsed, neighbours(known, index));
                     router.changes += u32::from(changed.is_some());
                     report.changes = report.changes.max(router.changes);
                 }
@@ -354,8 +342,3 @@
         }
     }
 }
-
-/// Returns how many routers have withdrawn.
-fn count(routers: &[(bool, f64)]) -> usize {
-    routers.iter().filter(|(withdrawn, _)| *withdrawn).count()
-}
--- a/crates/policy/tests/suite/main.rs
+++ b/crates/policy/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod link;
 mod load;
+mod neighbours;
 mod placement;
 mod quarantine;
 mod queue;
--- a/crates/policy/tests/suite/small_links/data_centre.rs
+++ b/crates/policy/tests/suite/small_links/data_centre.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use fescue_core::hash;
-use fescue_policy::crowding::{self, Arrival, Crowding, Neighbours, Usage};
+use fescue_policy::crowding::{Arrival, Crowding, Usage};
 use fescue_policy::link::LinkMonitor;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::neighbours::{Told, neighbours};
+
 use super::report::{LARGE, Report, SMALL_CALLERS};
 use super::requests::{KINDS, Request};
 
@@ -85,10 +87,6 @@
             failed_checks: 0,
         }
     }
-
-    fn is_away(&self) -> bool {
-        self.policy.is_withdrawn()
-    }
 }
 
 /// What happens at a later step: a request is sent again, or something arrives before a router's link.
@@ -103,8 +101,8 @@
     /// The number of each caller's idle connections to each router.
     idle: Vec<Vec<u32>>,
     later: BTreeMap<u64, Vec<Event>>,
-    /// Which routers were away, and their use, at each step of the last seconds.
-    history: VecDeque<Vec<(bool, f64)>>,
+    /// Which routers had withdrawn, and their use, at each step of the last seconds.
+    history: VecDeque<Vec<Told>>,
     order_seed: u64,
     step: u64,
     rng: StdRng,
@@ -127,13 +125,13 @@
         }
     }
 
-    /// Restarts all routers at the same moment; those that were away know it from their rows.
+    /// Restarts all routers at the same moment; those that had withdrawn know it from their rows.
     pub fn restart_all(&mut self) {
         for router in &mut self.routers {
-            let away = router.is_away();
+            let withdrawn = router.policy.is_withdrawn();
             let link_mbps = router.capacity * 1000.0 / STEP_MS as f64 / BYTES_PER_MEGABIT;
             *router = Router::open(link_mbps);
-            if away {
+            if withdrawn {
                 router.policy.resume();
             }
         }
@@ -208,9 +206,7 @@
         if kept && *idle > 0 {
             *idle -= 1;
         } else {
-            self.routers[router]
-                .queue
-                .push_back((HANDSHAKE_BYTES, Transfer::Handshake));
+            self.push(router, Transfer::Handshake);
         }
         self.push(router, Transfer::Body(request));
     }
@@ -334,15 +330,12 @@
         let now = self
             .routers
             .iter()
-            .map(|router| (router.is_away(), router.policy.busy()));
+            .map(|router| (router.policy.is_withdrawn(), router.policy.busy()));
         self.history.push_back(now.collect());
         if self.history.len() as u64 > KNOWN_AFTER_MS / STEP_MS {
             self.history.pop_front();
         }
-        let known = self.history[0].clone();
-        let open: Vec<_> = known.iter().filter(|(away, _)| !away).collect();
-        let busy = open.iter().map(|(_, busy)| busy).sum::<f64>() / open.len().max(1) as f64;
-        let routers = self.routers.len();
+        let known = &self.history[0];
         for (index, router) in self.routers.iter_mut().enumerate() {
             if self.step.is_multiple_of(OBSERVE_STEPS) {
                 let elapsed = Duration::from_millis(STEP_MS * OBSERVE_STEPS);
@@ -354,21 +347,11 @@
                     requests: std::mem::take(&mut router.bodies)
                         / (router.capacity * OBSERVE_STEPS as f64),
                 };
-                let neighbours = Neighbours {
-                    routers,
-                    withdrawn: count(&known) - usize::from(known[index].0),
-                    missing: 0,
-                    before: count(&known[..index]),
-                    calm_before: known[..index]
-                        .iter()
-                        .filter(|(away, busy)| *away && crowding::is_calm(*busy))
-                        .count(),
-                    busy,
-                };
+                let neighbours = neighbours(known, index);
                 router.policy.observe(usage, elapsed, neighbours);
             }
             if self.step % 100 == index as u64 * 3 {
-                let failed = router.is_away();
+                let failed = router.policy.is_withdrawn();
                 router.failed_checks = if failed { router.failed_checks + 1 } else { 0 };
             }
         }
@@ -379,8 +362,3 @@
         report.removed = report.removed.max(removed.count());
     }
 }
-
-/// Returns how many routers are away.
-fn count(routers: &[(bool, f64)]) -> usize {
-    routers.iter().filter(|(away, _)| *away).count()
-}
