review: streams that begin while the store is away are lost by a kill of all

Rule LOST: of 12 or more streams that are taken up again at machines in touch, under half as many go on as new ones begin.

Seen: the store is away for 4.5 s, and all processes are killed meanwhile. None of 44 streams that are taken up 3 s and more after the store is back and the processes run goes on; 78 of 78 new ones begin.

It takes the place of the case on the retry budget, by which nothing is lost.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,7 +2,7 @@
 # Plays the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-for program in target/release/fescuedrift review/standin/target/debug/retries; do
+for program in target/release/fescuedrift review/standin/target/debug/stranded; do
   [ -x "$program" ] || { echo "$program is missing: build it first"; exit 2; }
 done
-exec review/standin/target/debug/retries "$here"
+exec review/standin/target/debug/stranded "$here"
