--- a/review/standin/src/bin/returned.rs
+++ b/review/standin/src/bin/returned.rs
@@ -15,13 +15,14 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
-const BEFORE: u64 = 10_000;
-const PREPAID: u64 = 50_000;
+const BEFORE: u64 = 20_000;
+const PREPAID: u64 = 90_000;
 const INPUT: u64 = 100;
 const EVENTS: u64 = 6;
 const MACHINES: usize = 3;
-/// The age of the copy that the store comes back from.
-const COPY_AGE: Duration = Duration::from_secs(5);
+/// The tenant's requests a second. It begins to send after the copy.
+const RATE: f64 = 120.0;
+const SENDS_FOR: Duration = Duration::from_secs(6);
 const AWAY: Duration = Duration::from_secs(1);
 
 #[derive(Default)]
@@ -59,14 +60,13 @@
     fleet.start_all().await?;
     sleep(Duration::from_secs(8)).await;
     let tally = Arc::new(Tally::default());
-    play(&fleet, &tally, &team, 2.0, Duration::from_secs(5)).await;
     let copy = fleet.store.store.copy();
     let copied = Instant::now();
     record.say(&format!(
         "a copy of the store is made; {} tokens used",
         get(&tally.tokens)
     ));
-    sleep(Duration::from_secs(1)).await;
+    sleep(Duration::from_millis(300)).await;
     fleet
         .store
         .store
@@ -74,8 +74,8 @@
     record.say(&format!(
         "the tenant's prepaid tokens rise from {BEFORE} to {PREPAID}"
     ));
-    sleep(Duration::from_millis(500)).await;
-    play(&fleet, &tally, &team, 120.0, COPY_AGE - copied.elapsed()).await;
+    sleep(Duration::from_millis(300)).await;
+    play(&fleet, &tally, &team, RATE, SENDS_FOR).await;
     record.say(&format!(
         "{} tokens used, {} answered 402",
         get(&tally.tokens),
@@ -109,7 +109,7 @@
         fleet.await_ready(MACHINES, Duration::from_secs(20)).await?;
         record.say("all machines are ready again");
     }
-    play(&fleet, &tally, &team, 60.0, Duration::from_secs(25)).await;
+    play(&fleet, &tally, &team, RATE, Duration::from_secs(15)).await;
     let used = get(&tally.tokens);
     record.say(&format!(
         "{} sent, {} served, {} answered 402, {} refused, {} broken; the tenant got {used} tokens of {PREPAID} prepaid",
