policy: a scheduler for the engines of one shard

Cause: with many routers nobody knows which engine is reading a long prompt, and short prompts wait behind it. Change: module scheduling, which places all routers' prompts on the engines of a shard by expected time to the first event; the fairness of Bucket moves to claims, so that both use it.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,12 +7,13 @@
 //! [`witness`] (allocations recorded by peers), [`journal`] (exchanges that a restored table may have lost)
 //! and [`bills`] (deduplication). Request handling is in
 //! [`queue`], [`limit`], [`placement`], [`retry`] and [`quarantine`]. The gateway uses [`escrow`] and
-//! [`homes`] for token accounting, and [`affinity`], [`lifetime`], [`window`] and [`link`] for request
-//! handling.
+//! [`homes`] for token accounting, and [`affinity`], [`scheduling`], [`rate_limit`], [`lifetime`], [`window`] and
+//! [`link`] for request handling.
 
 pub mod account;
 pub mod affinity;
 pub mod bills;
+pub mod claims;
 pub mod crowding;
 pub mod escrow;
 pub mod homes;
@@ -27,6 +28,7 @@
 pub mod rate_limit;
 pub mod rendezvous;
 pub mod retry;
+pub mod scheduling;
 pub mod sizing;
 pub mod stream_times;
 pub mod window;
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -3,13 +3,15 @@
 //! An upstream in need names its limit in its answers. One router, the home of the upstream, grants each
 //! request to it; see [docs/design/service.md](../../../docs/design/service.md).
 
-use std::collections::VecDeque;
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
 
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 
+pub use crate::claims::Claim;
+use crate::claims::Claims;
+
 /// A positive number of requests per second.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, SerializeDisplay, DeserializeFromStr)]
 pub struct RequestRate(f64);
@@ -76,15 +78,6 @@
     }
 }
 
-/// Who asks for a request to be granted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Claim {
-    /// A hash of the team.
-    pub team: u64,
-    /// The rank of the request; zero is the most urgent.
-    pub rank: u8,
-}
-
 /// The refusal of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Denial {
@@ -103,12 +96,6 @@
 /// The requests that a claim leaves to others if it has to yield.
 const RESERVED: f64 = 2.0;
 
-/// The time for which grants and denials are remembered, to divide the limit.
-const MEMORY: Duration = Duration::from_secs(2);
-
-/// The largest number of grants, and of denials, that are remembered.
-const MAX_CLAIMS: usize = 256;
-
 /// The grants of requests to one upstream.
 ///
 /// Requests are granted at the upstream's rate. A request yields to more urgent ones that were denied, and
@@ -119,8 +106,7 @@
     /// The number of requests that can be granted now.
     level: f64,
     at: Duration,
-    grants: VecDeque<(Duration, Claim)>,
-    denials: VecDeque<(Duration, Claim)>,
+    claims: Claims,
 }
 
 impl Bucket {
@@ -129,8 +115,7 @@
         Self {
             level: 1.0,
             at: now,
-            grants: VecDeque::new(),
-            denials: VecDeque::new(),
+            claims: Claims::default(),
         }
     }
 
@@ -143,18 +128,18 @@
         let rate = rate.per_second();
         self.level = self.level_at(rate, BURST + rate * BURST_TIME, now);
         self.at = now;
-        self.forget(now);
-        let needed = if self.must_yield(claim) {
+        self.claims.forget(now);
+        let needed = if self.claims.must_yield(claim) {
             1.0 + RESERVED
         } else {
             1.0
         };
         if self.level >= needed {
             self.level -= 1.0;
-            remember(&mut self.grants, now, claim);
+            self.claims.record_grant(claim, now);
             return Ok(());
         }
-        remember(&mut self.denials, now, claim);
+        self.claims.record_denial(claim, now);
         Err(Denial {
             wait: Duration::from_secs_f64((needed - self.level) / rate),
             empty: self.level < 1.0,
@@ -198,41 +183,4 @@
     pub fn last_use(&self) -> Duration {
         self.at
     }
-
-    fn must_yield(&self, claim: Claim) -> bool {
-        let mut denials = self.denials.iter();
-        if denials.any(|(_, denied)| denied.rank < claim.rank) {
-            return true;
-        }
-        let known = self.grants.iter().chain(&self.denials);
-        let mut teams: Vec<_> = known.map(|(_, claim)| claim.team).collect();
-        teams.push(claim.team);
-        teams.sort_unstable();
-        teams.dedup();
-        let granted = self.grants.iter();
-        let own = granted.filter(|(_, granted)| granted.team == claim.team);
-        own.count() * teams.len() > self.grants.len()
-            && self
-                .denials
-                .iter()
-                .any(|(_, denied)| denied.team != claim.team && denied.rank <= claim.rank)
-    }
-
-    fn forget(&mut self, now: Duration) {
-        for claims in [&mut self.grants, &mut self.denials] {
-            while claims
-                .front()
-                .is_some_and(|(at, _)| now.saturating_sub(*at) > MEMORY)
-            {
-                claims.pop_front();
-            }
-        }
-    }
-}
-
-fn remember(claims: &mut VecDeque<(Duration, Claim)>, now: Duration, claim: Claim) {
-    if claims.len() >= MAX_CLAIMS {
-        claims.pop_front();
-    }
-    claims.push_back((now, claim));
 }
--- /dev/null
+++ b/crates/policy/src/scheduling.rs
@@ -0,0 +1,280 @@
+//! Placement of prompts on the engines of one shard, by one scheduler for all routers.
+//!
+//! A long prompt delays every request that waits for the same engine. A router sees only what it sends itself,
+//! so with many routers nobody knows which engine is reading. The home of a shard places the requests of all
+//! routers to the shard's engines: it knows the tokens that each engine has still to read, learns how fast it
+//! reads from the first events of the answers, and keeps prompts with equal prefixes together as long as that
+//! costs no time. Everything here is soft state that a new home learns anew within about a second. See
+//! [docs/design/scheduling.md](../../../docs/design/scheduling.md).
+
+mod engine;
+
+use std::time::Duration;
+
+use fescue_core::hash;
+use indexmap::IndexMap;
+
+use crate::claims::{Claim, Claims};
+use engine::Engine;
+
+/// A request that is to be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// A random number that identifies the placement.
+    pub id: u64,
+    /// The hash of the shared prefix of the prompt; `None` if it has no part that others share.
+    pub prefix: Option<u64>,
+    /// The number of tokens of the shared prefix.
+    pub shared: u64,
+    /// The number of tokens of the prompt, with the shared prefix.
+    pub input: u64,
+    /// The largest number of tokens of the answer.
+    pub output: u64,
+    /// The rank; zero is the most urgent.
+    pub rank: u8,
+    /// A hash of the team.
+    pub team: u64,
+    /// The time left until the first event should arrive.
+    pub target: Duration,
+    /// The time left until the caller gives up.
+    pub deadline: Duration,
+}
+
+impl Work {
+    /// Returns the memory that the request takes at an engine at most, in tokens.
+    fn bound(&self) -> u64 {
+        self.input.saturating_add(self.output)
+    }
+
+    fn claim(&self) -> Claim {
+        Claim {
+            team: self.team,
+            rank: self.rank,
+        }
+    }
+}
+
+/// An engine that may get the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// An id of the engine that is the same at every router.
+    pub hash: u64,
+    /// The number of requests that it runs concurrently.
+    pub slots: u32,
+    /// The number of tokens that fit into its memory.
+    pub memory: u64,
+}
+
+/// Where a request is placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// The engine, by [`Member::hash`].
+    pub member: u64,
+    /// The expected time until the first event.
+    pub expected: Duration,
+}
+
+/// The shard can't serve the request in time, or has to leave its room to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Saturated {
+    /// The time after which the request may be placed.
+    pub wait: Duration,
+}
+
+/// The average number of engines above which a service gets twice as many shards.
+const MAX_SHARD_ENGINES: usize = 24;
+
+/// The part of the target within which an engine that owns the prefix is good enough.
+const GOOD_PART: u32 = 2;
+
+/// The shortest wait that counts as saturation, whatever is left of a request's target.
+const MIN_SATURATION: Duration = Duration::from_millis(250);
+
+/// The shortest time after which a refused request may come again.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+
+/// The time after which an engine that gets no requests is forgotten.
+const ENGINE_TTL: Duration = Duration::from_secs(60);
+
+/// Returns the number of shards of a service with this many engines.
+///
+/// It is a power of two, so that it stays the same while single engines come and go.
+pub fn shards(engines: usize) -> u32 {
+    let needed = engines.div_ceil(MAX_SHARD_ENGINES).max(1);
+    u32::try_from(needed.next_power_of_two()).unwrap_or(u32::MAX)
+}
+
+/// Returns the shard of an engine, below `shards`.
+pub fn shard_of(member: u64, shards: u32) -> u32 {
+    let score = |shard: &u32| hash::score(u64::from(*shard), member);
+    (0..shards.max(1)).max_by_key(score).unwrap_or(0)
+}
+
+/// Returns the engine among `members` that owns a prefix.
+pub fn owner(prefix: u64, members: impl Iterator<Item = u64>) -> Option<u64> {
+    members.max_by_key(|member| hash::score(prefix, *member))
+}
+
+/// The scheduler of one shard.
+#[derive(Clone, Debug, Default)]
+pub struct Scheduler {
+    engines: IndexMap<u64, Engine>,
+    /// The engine of each request that has not ended.
+    placed: IndexMap<u64, u64>,
+    claims: Claims,
+}
+
+/// How an engine suits a request.
+struct Offer {
+    member: u64,
+    /// The time until the engine reads the prompt.
+    wait: Duration,
+    /// The time until the first event.
+    expected: Duration,
+    /// Whether a slot and the memory for it are free.
+    free: bool,
+    /// The memory that is left, in tokens.
+    room: u64,
+}
+
+impl Scheduler {
+    /// Places a request on one of the engines `members`.
+    ///
+    /// # Errors
+    ///
+    /// [`Saturated`] if no engine can begin the answer before the deadline, if the request fits into none, or if
+    /// all have more to read than the target allows and the request yields to others.
+    pub fn place(
+        &mut self,
+        work: &Work,
+        members: &[Member],
+        now: Duration,
+    ) -> Result<Placement, Saturated> {
+        self.expire(now);
+        let typical = self.typical_rate();
+        let fitting = members
+            .iter()
+            .filter(|member| work.bound() <= member.memory);
+        let options: Vec<_> = fitting
+            .map(|member| self.evaluate(work, member, typical, now))
+            .collect();
+        let key = work.prefix.unwrap_or(work.id);
+        let Some(best) = choose(&options, key, work.target) else {
+            return Err(Saturated { wait: MIN_RETRY });
+        };
+        let limit = work.target.max(MIN_SATURATION);
+        let saturated = best.wait > limit;
+        if best.expected > work.deadline || saturated && self.claims.must_yield(work.claim()) {
+            self.claims.record_denial(work.claim(), now);
+            let wait = best.wait.saturating_sub(limit).max(MIN_RETRY);
+            return Err(Saturated { wait });
+        }
+        if saturated {
+            // It will be late, which counts as a denial to those that it might go before.
+            self.claims.record_denial(work.claim(), now);
+        }
+        self.claims.record_grant(work.claim(), now);
+        let (member, expected) = (best.member, best.expected);
+        let memory = members.iter().find(|known| known.hash == member);
+        let memory = memory.map_or(0, |known| known.memory);
+        let engine = self
+            .engines
+            .entry(member)
+            .or_insert_with(|| Engine::open(memory, now));
+        engine.add(work, expected, now);
+        self.placed.insert(work.id, member);
+        Ok(Placement { member, expected })
+    }
+
+    /// Records that the first event of an answer has arrived: the prompt has been read.
+    pub fn record_begun(&mut self, id: u64, now: Duration) {
+        let typical = self.typical_rate();
+        if let Some(engine) = self.engine_of(id) {
+            engine.record_begun(id, typical, now);
+        }
+    }
+
+    /// Records that a request has ended, whether or not its answer had begun.
+    pub fn record_ended(&mut self, id: u64, now: Duration) {
+        if let Some(engine) = self.engine_of(id) {
+            engine.record_ended(id, now);
+        }
+        self.placed.swap_remove(&id);
+    }
+
+    /// Returns the number of tokens that the engines have still to read.
+    pub fn reading(&self) -> u64 {
+        self.engines.values().map(Engine::reading).sum()
+    }
+
+    /// Returns the number of requests that have not ended.
+    pub fn running(&self) -> usize {
+        self.placed.len()
+    }
+
+    fn engine_of(&mut self, id: u64) -> Option<&mut Engine> {
+        let member = self.placed.get(&id)?;
+        self.engines.get_mut(member)
+    }
+
+    fn evaluate(&self, work: &Work, member: &Member, typical: f64, now: Duration) -> Offer {
+        let Some(engine) = self.engines.get(&member.hash) else {
+            return Offer {
+                member: member.hash,
+                wait: Duration::ZERO,
+                expected: engine::read_time(work.input, typical) + engine::DEFAULT_LATENCY,
+                free: true,
+                room: member.memory,
+            };
+        };
+        let wait = engine.wait(member.slots, typical, now);
+        let room = member.memory.saturating_sub(engine.held());
+        Offer {
+            member: member.hash,
+            wait,
+            expected: wait + engine.read_time(work, typical) + engine.latency(),
+            free: engine.running() < member.slots as usize && room >= work.bound(),
+            room,
+        }
+    }
+
+    /// Returns the median rate of the engines that are known, in tokens per second.
+    fn typical_rate(&self) -> f64 {
+        let rates = self.engines.values().filter_map(Engine::rate);
+        let mut rates: Vec<_> = rates.collect();
+        rates.sort_unstable_by(f64::total_cmp);
+        rates
+            .get(rates.len() / 2)
+            .copied()
+            .unwrap_or(engine::DEFAULT_RATE)
+    }
+
+    /// Drops requests whose end was never reported, and engines that get no requests any more.
+    fn expire(&mut self, now: Duration) {
+        self.claims.forget(now);
+        for engine in self.engines.values_mut() {
+            for id in engine.expire(now) {
+                self.placed.swap_remove(&id);
+            }
+        }
+        self.engines
+            .retain(|_, engine| engine.running() > 0 || engine.idle_time(now) < ENGINE_TTL);
+    }
+}
+
+/// Chooses the first engine in the order of the prefix that is good enough, or else the one with the least
+/// expected time. Engines without a free slot or the memory come last.
+fn choose(options: &[Offer], key: u64, target: Duration) -> Option<&Offer> {
+    let good = |option: &&Offer| option.free && option.expected <= target / GOOD_PART;
+    let owner = options
+        .iter()
+        .filter(good)
+        .max_by_key(|option| hash::score(key, option.member));
+    let free = options.iter().filter(|option| option.free);
+    owner
+        .or_else(|| free.min_by_key(|option| option.expected))
+        .or_else(|| {
+            let order = |option: &&Offer| (option.expected, std::cmp::Reverse(option.room));
+            options.iter().min_by_key(order)
+        })
+}
