gateway: ask the home of a shard of engines where a prompt goes

Cause: a router knows only the load that it puts on an engine itself, so short prompts wait behind long ones of other routers. The slot reports the first event and the end. Without an answer, and for continuations, suspected requests and plain services, placement is as before. Measured: gateway suite 137 passed with the setting off. With it forced on in the stand-in's gateways, gateway_* tests of the router suite: 111 passed, 1 failed (gateway_resumes_streams_of_another_router, which passed when run alone; not yet traced).

--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -22,6 +22,7 @@
 use crate::origins::{self, BegunStream, Inquiry};
 use crate::peers::Peers;
 use crate::permits::{self, Question, Refund};
+use crate::schedulers::{self, Place, Placed, Progress};
 
 /// Maximum size of a datagram, which fits into one packet.
 const MAX_BYTES: usize = 1400;
@@ -75,6 +76,12 @@
     Inquiry(Inquiry),
     /// Answers an [`Inquiry`].
     Origin(origins::Answer),
+    /// Asks the home of a shard for an engine.
+    Place(Place),
+    /// Answers a [`Place`].
+    Placed(Placed),
+    /// Reports the progress of a request to the home that placed it; it has no answer.
+    Progress(Progress),
 }
 
 impl From<budget::Message> for Datagram {
@@ -216,6 +223,7 @@
                 }
             }
             _ = exchanges.tick() => {
+                schedulers::sweep(&gateway);
                 for (peer, findings) in gossip::all_findings(&gateway) {
                     send(&socket, peer, &Datagram::Findings(findings)).await;
                 }
@@ -301,6 +309,18 @@
             origins::receive(gateway, answer);
             None
         }
+        Datagram::Place(place) => {
+            let placed = schedulers::answer(gateway, peer, &place);
+            Some(Datagram::Placed(placed))
+        }
+        Datagram::Placed(placed) => {
+            schedulers::receive(gateway, peer, placed);
+            None
+        }
+        Datagram::Progress(progress) => {
+            schedulers::record_progress(gateway, peer, progress);
+            None
+        }
         Datagram::Findings(findings) => {
             gossip::receive(gateway, &findings);
             None
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,8 @@
 //! # Lock order
 //!
 //! `catalog` before `time_limits` and before what [`crate::budget`] locks; `servers` before `versions`; no other two
-//! are held at once, and none across an `await`.
+//! are held at once, and none across an `await`. A [`crate::upstreams::Slot`] that a home placed locks `schedulers`
+//! when it is dropped or its prompt has been read, so neither happens while another lock is held.
 
 mod guards;
 
@@ -35,6 +36,7 @@
 use crate::origins::Origins;
 use crate::peers::Peers;
 use crate::permits::Permits;
+use crate::schedulers::Schedulers;
 use crate::settings::{Settings, Tuning};
 use crate::startup::Startup;
 use crate::time_limits::History;
@@ -82,6 +84,8 @@
     pub peers: Arc<Mutex<Peers>>,
     /// The permits for requests to upstreams that name limits.
     pub permits: Permits,
+    /// The schedulers of the engines that prompts are placed on.
+    pub schedulers: Schedulers,
     /// The upstream versions that began streams.
     pub origins: Origins,
     /// The versions that services have had.
@@ -151,6 +155,7 @@
             outbox: Outbox::default(),
             peers,
             permits: Permits::default(),
+            schedulers: Schedulers::default(),
             origins: Origins::default(),
             versions: Versions::default(),
             link,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,6 +4,7 @@
 mod continuation;
 mod ending;
 mod placement;
+mod scheduled;
 mod takeover;
 mod usage;
 mod withdrawal;
@@ -80,6 +81,8 @@
     pub attempt: Attempt,
     /// The time until an upstream may get a request, if limits or pauses kept this one from being sent.
     pub limited: Option<Block>,
+    /// The time after which the request may come again, if the engines are saturated.
+    pub saturated: Option<Duration>,
     /// The slot that the next attempt uses, if one was taken before the current attempt was given up.
     pub secured: Option<Slot>,
     /// Whether no upstream is left that the request may be sent to.
@@ -350,6 +353,9 @@
             if self.stopping {
                 return refuse_stopping("the router stopped before the request could be sent");
             }
+            if let Some(wait) = self.saturated {
+                return self.refuse_saturated(wait);
+            }
             if !self.can_continue() {
                 return self.refuse_continuation();
             }
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -10,7 +10,8 @@
 use super::Job;
 use crate::origins::Continuation;
 use crate::permits;
-use crate::upstreams::{Block, Requirements, Server, Slot};
+use crate::schedulers::Grant;
+use crate::upstreams::{Block, Requirements, Slot};
 
 /// The longest wait for an upstream to become available before the first attempt.
 const MAX_UPSTREAM_WAIT: Duration = Duration::from_secs(1);
@@ -43,7 +44,7 @@
                 self.limited = None;
                 return Some(slot);
             }
-            if !self.can_continue() {
+            if self.saturated.is_some() || !self.can_continue() {
                 return None;
             }
             if let Some(Block { wait, .. }) = self.limited {
@@ -65,16 +66,28 @@
         let claim = permits::claim(self.team.as_ref(), self.rank);
         let mut denied = Vec::new();
         let mut shortest: Option<Duration> = None;
-        while let Some(mut slot) = self.place(&denied) {
+        let scheduled = self.is_scheduled();
+        let mut grant = None;
+        if scheduled {
+            match self.schedule().await {
+                Ok(granted) => grant = granted,
+                Err(wait) => {
+                    self.gateway.metrics.count_scheduled("refused");
+                    self.saturated = Some(wait);
+                    return None;
+                }
+            }
+        }
+        while let Some(mut slot) = self.place(&denied, grant.take()) {
             let server = Arc::clone(slot.server());
             let Some(rate) = server.limit(self.gateway.now()) else {
-                self.log_placed(&server, None);
+                self.log_placed(&slot, None, scheduled);
                 return Some(slot);
             };
             match permits::take(&self.gateway, &server, rate, claim).await {
                 Ok(()) => {
                     slot.mark_permitted();
-                    self.log_placed(&server, Some(rate));
+                    self.log_placed(&slot, Some(rate), scheduled);
                     return Some(slot);
                 }
                 Err(denial) => {
@@ -114,17 +127,32 @@
         }
     }
 
-    fn place(&self, denied: &[UpstreamId]) -> Option<Slot> {
+    /// Acquires a slot where a home placed the request, if it did and that is possible; otherwise at the best
+    /// upstream by what this router knows.
+    fn place(&self, denied: &[UpstreamId], grant: Option<Grant>) -> Option<Slot> {
         if self.continuation == Continuation::Unknown {
             return None;
         }
         let requirements = self.requirements(denied);
+        let granted = grant.and_then(|grant| self.place_granted(grant, &requirements));
+        if granted.is_some() {
+            return granted;
+        }
         let near = self.gateway.settings.data_centre.as_str();
         let servers = self.gateway.servers.lock();
         servers.acquire(self.gateway.now(), &requirements, near)
     }
 
-    fn log_placed(&self, server: &Server, limit: Option<RequestRate>) {
+    fn log_placed(&self, slot: &Slot, limit: Option<RequestRate>, scheduled: bool) {
+        let (server, grant) = (slot.server(), slot.grant());
+        if scheduled {
+            let outcome = if grant.is_some() {
+                "placed"
+            } else {
+                "fallback"
+            };
+            self.gateway.metrics.count_scheduled(outcome);
+        }
         let listed = self.gateway.servers.lock().len();
         tracing::info!(
             request = self.call.id,
@@ -132,6 +160,8 @@
             running = server.running(),
             listed,
             limit = limit.map(RequestRate::per_second),
+            scheduler = grant.map(Grant::scheduler),
+            expected_ms = grant.map(|grant| grant.expected.as_millis() as u64),
             attempt = self.tried.len() + 1,
             ms = self.arrival.elapsed().as_millis() as u64,
             "placed"
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A gateway accepts any request whose host and path match a route, and forwards it to an upstream
 //! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`fleet`],
-//! [`gossip`], [`origins`], [`permits`], [`reload`] and [`usage`] are the controllers; [`gateway`] holds the state that
+//! [`gossip`], [`origins`], [`permits`], [`reload`], [`schedulers`] and [`usage`] are the controllers; [`gateway`] holds the state that
 //! they share, and [`adapter`] the traits that connect a platform. The design is in
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
@@ -36,6 +36,7 @@
 pub mod reload;
 pub mod reply;
 pub mod run;
+pub mod schedulers;
 pub mod settings;
 pub mod sse;
 pub mod startup;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of prompts that the homes of shards were asked to place.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ScheduledLabels {
+    /// `placed`, `fallback` or `refused`.
+    pub outcome: &'static str,
+}
+
 /// Labels of calls to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabels {
@@ -71,6 +78,12 @@
     pub teams: Arc<TeamRequests>,
     /// Attempts at upstreams by outcome.
     pub attempts: Family<AttemptLabels, Counter>,
+    /// Placements of prompts for model engines by outcome.
+    pub scheduled: Family<ScheduledLabels, Counter>,
+    /// Prompt tokens that the engines scheduled by this router have yet to read.
+    pub reading_tokens: Gauge,
+    /// Seconds from a question for an engine to the answer.
+    pub schedule_seconds: Histogram,
     /// Calls to the store by kind and outcome.
     pub store: Family<StoreCallLabels, Counter>,
     /// Seconds from the arrival of a request to the first event or the answer.
@@ -106,6 +119,9 @@
             requests: Family::default(),
             teams: Arc::default(),
             attempts: Family::default(),
+            scheduled: Family::default(),
+            reading_tokens: Gauge::default(),
+            schedule_seconds: Histogram::new(exponential_buckets(0.0005, 2.0, 8)),
             store: Family::default(),
             first_byte: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
             tokens: Counter::default(),
@@ -132,6 +148,12 @@
         r.register_collector(Box::new(Arc::clone(&self.teams)));
         let help = "Tries at upstreams by outcome.";
         r.register("attempts", help, self.attempts.clone());
+        let help = "Placements of prompts for model engines, by outcome.";
+        r.register("scheduled", help, self.scheduled.clone());
+        let help = "Prompt tokens yet to be read by the engines that this router schedules.";
+        r.register("reading_tokens", help, self.reading_tokens.clone());
+        let help = "Seconds from a question for an engine to the answer.";
+        r.register("schedule_seconds", help, self.schedule_seconds.clone());
         let help = "Calls of the platform's store by outcome.";
         r.register("store_calls", help, self.store.clone());
         let help = "Seconds from arrival to the first event or the answer.";
@@ -181,6 +203,12 @@
             .inc();
     }
 
+    /// Counts a placement of a prompt; see [`ScheduledLabels::outcome`].
+    pub fn count_scheduled(&self, outcome: &'static str) {
+        let labels = ScheduledLabels { outcome };
+        self.scheduled.get_or_create(&labels).inc();
+    }
+
     /// Counts tokens transferred between routers; see [`TransferLabels::event`].
     pub fn count_transfer(&self, event: &'static str, tokens: Tokens) {
         let moved = self.moved.get_or_create(&TransferLabels { event });
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -237,6 +237,7 @@
         prints,
         attempt: Attempt::default(),
         limited: None,
+        saturated: None,
         secured: None,
         unplaced: false,
         stopping: false,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,6 +44,9 @@
     /// be turned off where other programs share the machine: what these use counts as used up.
     #[serde(default = "on")]
     pub crowding: bool,
+    /// Whether prompts for model engines are placed by the routers that schedule these engines.
+    #[serde(default)]
+    pub scheduling: bool,
     /// Retry limits of the fleet.
     pub retries: Retries,
     /// Log filter in the syntax of `tracing`.
@@ -160,6 +163,7 @@
             ("store", self.store != other.store),
             ("drain_ms", self.drain != other.drain),
             ("crowding", self.crowding != other.crowding),
+            ("scheduling", self.scheduling != other.scheduling),
             ("log", self.log != other.log),
         ];
         let differ = fields.into_iter().filter(|(_, differs)| *differs);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -3,6 +3,7 @@
 mod departed;
 mod facts;
 mod server;
+mod shards;
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
@@ -15,6 +16,7 @@
 
 use crate::model::Upstream;
 use crate::origins::Origin;
+use crate::schedulers::Grant;
 
 use departed::Departed;
 pub use facts::{Facts, Hindrance, Withdrawal};
@@ -27,16 +29,52 @@
     server: Arc<Server>,
     unread: u64,
     permitted: bool,
+    grant: Option<Grant>,
 }
 
 impl Slot {
+    /// Counts a request with `unread` prompt tokens as load of an upstream.
+    fn open(server: Arc<Server>, unread: u64) -> Self {
+        {
+            let mut state = server.state.lock();
+            state.running += 1;
+            state.unread += unread;
+            state.breaker.start();
+        }
+        server.facts.count_placed();
+        Self {
+            server,
+            unread,
+            permitted: false,
+            grant: None,
+        }
+    }
+
+    /// Adds the grant of the home that chose the upstream.
+    pub fn attach(&mut self, grant: Grant) {
+        self.grant = Some(grant);
+    }
+
+    /// Returns the grant of the home that chose the upstream; `None` if this router chose it.
+    pub fn grant(&self) -> Option<&Grant> {
+        self.grant.as_ref()
+    }
+
     /// Returns the upstream that the slot belongs to.
     pub fn server(&self) -> &Arc<Server> {
         &self.server
     }
 
-    /// Removes the prompt from the upstream's load. The first event shows that it has been read.
+    /// Removes the prompt from the upstream's load, and tells the home that placed it. The first event shows
+    /// that it has been read.
     pub fn mark_prompt_read(&mut self) {
+        self.discount_prompt();
+        if let Some(grant) = &mut self.grant {
+            grant.ticket.record_begun();
+        }
+    }
+
+    fn discount_prompt(&mut self) {
         let mut state = self.server.state.lock();
         state.unread = state.unread.saturating_sub(self.unread);
         self.unread = 0;
@@ -61,7 +99,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.mark_prompt_read();
+        self.discount_prompt();
         self.server.state.lock().running -= 1;
     }
 }
@@ -287,18 +325,6 @@
         let candidates: Vec<_> = rated.iter().map(candidate).collect();
         let chosen = affinity::choose(&candidates, requirements.prefix, requirements.tie_breaker)?;
         let server = Arc::clone(rated[chosen].0);
-        {
-            let mut state = server.state.lock();
-            state.running += 1;
-            state.unread += requirements.input;
-            state.breaker.start();
-        }
-        server.facts.count_placed();
-        let unread = requirements.input;
-        Some(Slot {
-            server,
-            unread,
-            permitted: false,
-        })
+        Some(Slot::open(server, requirements.input))
     }
 }
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use super::shards::ShardMemo;
 use super::{Block, Facts, Requirements};
 use crate::link::{Link, LinkError};
 use crate::model::Upstream;
@@ -118,6 +119,7 @@
     /// The entry that the upstream published.
     pub entry: Upstream,
     pub(super) member: u64,
+    pub(super) shard_memo: ShardMemo,
     pub(super) state: Arc<Mutex<State>>,
     /// What is known of the process.
     pub facts: Arc<Facts>,
@@ -151,6 +153,7 @@
         Self {
             entry,
             member,
+            shard_memo: ShardMemo::default(),
             state: Arc::default(),
             facts: Arc::default(),
         }
