gateway: tests of the questions to homes of shards

Change: datagrams::run takes a Network (trait; UdpSocket implements it). Thirteen tests join four gateways by a network in memory that loses, repeats and cuts: an engine that reads for another router, silent and gone homes, lost answers and reports, repeated questions, a home that changes, callers that leave, the setting off, and refusals with Retry-After.

--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -3,6 +3,7 @@
 //! Each belongs to one part of the gateway, which knows what its messages mean. A datagram may be lost,
 //! repeated or late. See [docs/design/platform.md](../../../docs/design/platform.md).
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -192,12 +193,34 @@
     }
 }
 
+/// The network between routers, which may lose, repeat and delay datagrams.
+pub trait Network: Send + Sync + 'static {
+    /// Sends a datagram.
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> impl Future<Output = io::Result<()>> + Send;
+
+    /// Waits for a datagram; returns its length and its sender. Nothing is lost if the wait is given up.
+    fn receive(
+        &self,
+        buffer: &mut [u8],
+    ) -> impl Future<Output = io::Result<(usize, SocketAddr)>> + Send;
+}
+
+impl Network for UdpSocket {
+    async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        self.send_to(bytes, to).await.map(drop)
+    }
+
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.recv_from(buffer).await
+    }
+}
+
 /// Sends what is queued and handles what arrives, for as long as the process runs.
 ///
 /// # Panics
 ///
 /// If it runs twice for one process.
-pub async fn run(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+pub async fn run(gateway: Arc<Gateway>, socket: Arc<impl Network>) {
     let queue = gateway.courier.waiting.lock().take();
     let mut queue = queue.expect("the datagrams of a process are sent by one task");
     let mut buffer = [0; MAX_BYTES];
@@ -205,11 +228,11 @@
     exchanges.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            Some((peer, datagram)) = queue.recv() => send(&socket, peer, &datagram).await,
-            received = socket.recv_from(&mut buffer) => match received {
+            Some((peer, datagram)) = queue.recv() => send(&*socket, peer, &datagram).await,
+            received = socket.receive(&mut buffer) => match received {
                 Ok((length, peer)) => {
                     if let Some(answer) = handle(&gateway, peer, &buffer[..length]) {
-                        send(&socket, peer, &answer).await;
+                        send(&*socket, peer, &answer).await;
                     }
                 }
                 Err(error) => {
@@ -219,20 +242,20 @@
             },
             () = gateway.outbox.changed() => {
                 for (peer, findings) in gossip::new_findings(&gateway) {
-                    send(&socket, peer, &Datagram::Findings(findings)).await;
+                    send(&*socket, peer, &Datagram::Findings(findings)).await;
                 }
             }
             _ = exchanges.tick() => {
                 schedulers::sweep(&gateway);
                 for (peer, findings) in gossip::all_findings(&gateway) {
-                    send(&socket, peer, &Datagram::Findings(findings)).await;
+                    send(&*socket, peer, &Datagram::Findings(findings)).await;
                 }
             }
         }
     }
 }
 
-async fn send(socket: &UdpSocket, peer: SocketAddr, datagram: &Datagram) {
+async fn send(socket: &impl Network, peer: SocketAddr, datagram: &Datagram) {
     let bytes = match serde_json::to_vec(datagram) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -245,7 +268,7 @@
         tracing::warn!(%peer, bytes, "datagram larger than a router reads; dropped");
         return;
     }
-    if let Err(error) = socket.send_to(&bytes, peer).await {
+    if let Err(error) = socket.send(&bytes, peer).await {
         tracing::debug!(%peer, %error, "sending a datagram failed; dropped");
     }
 }
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod one_version;
 mod origins;
 mod reload;
+mod schedulers;
 mod settlement;
 mod site;
 mod sse;
