policy: learn rates from whole reading periods; weigh what prompts delay

Change: the rate follows from the time of a whole reading period; a prompt costs 0.15 of its reading time for each answer that goes on there; an engine that has the prefix goes before the others.

--- a/crates/policy/src/scheduling.rs
+++ b/crates/policy/src/scheduling.rs
@@ -88,6 +88,10 @@
 /// The part of the target within which an engine that owns the prefix is good enough.
 const GOOD_PART: u32 = 2;
 
+/// The part of its reading time that a prompt costs each answer that goes on beside it: engines make tokens
+/// between the parts of a prompt, so a long one widens the gaps between events.
+const STREAM_WEIGHT: f64 = 0.15;
+
 /// The shortest wait that counts as saturation, whatever is left of a request's target.
 const MIN_SATURATION: Duration = Duration::from_millis(250);
 
@@ -140,6 +144,10 @@
     wait: Duration,
     /// The time until the first event.
     expected: Duration,
+    /// The expected time, and a part of what the prompt delays the answers that go on beside it.
+    cost: Duration,
+    /// Whether the engine has the prefix of the prompt.
+    cached: bool,
     /// Whether a slot and the memory for it are free.
     free: bool,
     /// The memory that is left, in tokens.
@@ -245,20 +253,27 @@
 
     fn evaluate(&self, work: &Work, member: &Member, typical: f64, now: Duration) -> Offer {
         let Some(engine) = self.engines.get(&member.hash) else {
+            let expected = engine::read_time(work.input, typical) + engine::DEFAULT_LATENCY;
             return Offer {
                 member: member.hash,
                 wait: Duration::ZERO,
-                expected: engine::read_time(work.input, typical) + engine::DEFAULT_LATENCY,
+                expected,
+                cost: expected,
+                cached: false,
                 free: true,
                 room: member.memory,
             };
         };
         let wait = engine.wait(member.slots, typical, now);
+        let read = engine.read_time(work, typical);
+        let expected = wait + read + engine.latency();
         let room = member.memory.saturating_sub(engine.held());
         Offer {
             member: member.hash,
             wait,
-            expected: wait + engine.read_time(work, typical) + engine.latency(),
+            expected,
+            cost: expected + read.mul_f64(STREAM_WEIGHT * engine.streams() as f64),
+            cached: engine.has_prefix(work),
             free: engine.running() < member.slots as usize && room >= work.bound(),
             room,
         }
@@ -288,17 +303,22 @@
     }
 }
 
-/// Chooses the first engine in the order of the prefix that is good enough, or else the one with the least
-/// expected time. Engines without a free slot or the memory come last.
+/// Chooses an engine: of those that are good enough, the cheapest one that has the prefix, or the first one in the
+/// order of the prefix; or else the cheapest one. Engines without a free slot or the memory come last.
 fn choose(options: &[Offer], key: u64, target: Duration) -> Option<&Offer> {
-    let good = |option: &&Offer| option.free && option.expected <= target / GOOD_PART;
+    let good = |option: &&Offer| option.free && option.cost <= target / GOOD_PART;
     let score = |option: &&Offer| hash::score(key, option.member);
-    let owner = options.iter().filter(good).max_by_key(score);
-    let free = options.iter().filter(|option| option.free);
-    owner
-        .or_else(|| free.min_by_key(|option| (option.expected, Reverse(score(option)))))
+    let cheap = |option: &&Offer| (option.cost, Reverse(score(option)));
+    let cached = options.iter().filter(good).filter(|option| option.cached);
+    cached
+        .min_by_key(cheap)
+        .or_else(|| options.iter().filter(good).max_by_key(score))
+        .or_else(|| {
+            let free = options.iter().filter(|option| option.free);
+            free.min_by_key(cheap)
+        })
         .or_else(|| {
-            let order = |option: &&Offer| (option.expected, Reverse(option.room));
+            let order = |option: &&Offer| (option.cost, Reverse(option.room));
             options.iter().min_by_key(order)
         })
 }
--- a/crates/policy/src/scheduling/engine.rs
+++ b/crates/policy/src/scheduling/engine.rs
@@ -27,6 +27,9 @@
 /// The factor by which a sample may differ from what is known: what the engine had cached is only estimated.
 const MAX_CHANGE: f64 = 4.0;
 
+/// The time after which a sample is taken though the engine still reads.
+const MAX_PERIOD: Duration = Duration::from_millis(700);
+
 /// The part of an engine's memory whose prefixes count as cached.
 const CACHED_PART: u64 = 2;
 
@@ -69,6 +72,10 @@
     latency: Duration,
     /// The average time for which a request is held.
     duration: Duration,
+    /// The tokens that were read since the start of the current period.
+    read_tokens: u64,
+    /// When the engine last began to read after it had nothing to read, or the last sample was taken.
+    period: Duration,
     /// When the engine last told that a prompt was read.
     progress: Duration,
     used: Duration,
@@ -91,6 +98,8 @@
             rate: None,
             latency: DEFAULT_LATENCY,
             duration: Duration::from_secs(1),
+            read_tokens: 0,
+            period: now,
             progress: now,
             used: now,
             cache_tokens: 0,
@@ -148,7 +157,21 @@
             .mul_f64(excess as f64 / f64::from(slots.max(1)))
     }
 
+    /// Returns the number of answers that have begun and go on.
+    pub(super) fn streams(&self) -> usize {
+        self.held.values().filter(|held| held.unread == 0).count()
+    }
+
+    /// Returns whether the engine has read the prefix of a prompt.
+    pub(super) fn has_prefix(&self, work: &Work) -> bool {
+        work.prefix
+            .is_some_and(|prefix| self.prefixes.contains_key(&prefix))
+    }
+
     pub(super) fn add(&mut self, work: &Work, expected: Duration, now: Duration) {
+        if self.reading() == 0 {
+            (self.period, self.read_tokens) = (now, 0);
+        }
         let held = Held {
             unread: self.uncached(work).max(1),
             bound: work.bound(),
@@ -165,38 +188,40 @@
 
     /// Takes a first event over, from which the rate of reading follows.
     pub(super) fn record_begun(&mut self, id: u64, typical: f64, now: Duration) {
-        let progress = self.progress;
         let Some(held) = self.held.get_mut(&id).filter(|held| held.unread > 0) else {
             return;
         };
         let read = *held;
         held.unread = 0;
         self.progress = now;
-        self.learn(read, progress, typical, now);
-        // Engines read in the order of arrival. The events of these were lost, or their callers left.
+        self.read_tokens += read.unread;
+        // Engines read about in the order of arrival. The events of these were lost, or their callers left.
         for other in self.held.values_mut() {
             if other.at < read.at && now > other.due + LOST / 2 {
                 other.unread = 0;
             }
         }
+        self.learn(read, typical, now);
     }
 
-    fn learn(&mut self, read: Held, progress: Duration, typical: f64, now: Duration) {
+    /// Learns from the time that all prompts of a period took together. A single one tells little: its first event
+    /// may hold several tokens, between which the engine reads the prompts after it.
+    fn learn(&mut self, read: Held, typical: f64, now: Duration) {
         let rate = self.rate.unwrap_or(typical);
-        let idle = progress <= read.at;
-        if read.unread >= MIN_SAMPLE_TOKENS {
-            let latency = if idle { self.latency } else { Duration::ZERO };
-            let time = now.saturating_sub(read.at.max(progress));
-            let time = time.saturating_sub(latency).as_secs_f64();
-            let sample = read.unread as f64 / time.max(f64::EPSILON);
+        let time = now.saturating_sub(self.period);
+        let idle = self.reading() == 0;
+        if self.read_tokens <= MAX_LATENCY_TOKENS {
+            if idle && read.at <= self.period {
+                let sample = time.saturating_sub(read_time(read.unread, rate));
+                let sample = sample.min(MAX_LATENCY);
+                self.latency = self.latency.mul_f64(1.0 - GAIN) + sample.mul_f64(GAIN);
+            }
+        } else if self.read_tokens >= MIN_SAMPLE_TOKENS && (idle || time > MAX_PERIOD) {
+            let time = time.saturating_sub(self.latency).as_secs_f64();
+            let sample = self.read_tokens as f64 / time.max(f64::EPSILON);
             let change = (sample / rate).clamp(1.0 / MAX_CHANGE, MAX_CHANGE);
             self.rate = Some(rate * change.powf(GAIN));
-        } else if idle && read.unread <= MAX_LATENCY_TOKENS {
-            let time = now.saturating_sub(read.at);
-            let sample = time
-                .saturating_sub(read_time(read.unread, rate))
-                .min(MAX_LATENCY);
-            self.latency = self.latency.mul_f64(1.0 - GAIN) + sample.mul_f64(GAIN);
+            (self.period, self.read_tokens) = (now, 0);
         }
     }
 
@@ -224,10 +249,7 @@
     }
 
     fn uncached(&self, work: &Work) -> u64 {
-        let cached = work
-            .prefix
-            .is_some_and(|prefix| self.prefixes.contains_key(&prefix));
-        match cached {
+        match self.has_prefix(work) {
             true => work.input.saturating_sub(work.shared),
             false => work.input,
         }
