gateway: evacuation of data centres, allowed regions

Cause: the operator has to be able to stop all traffic to the upstreams of a data centre, and routes and teams may be restricted to regions; the gateway knows neither. Change: the feed of the configuration brings the rows op/evacuate/ZONE; the set is kept in evacuations.rs and shared in findings. Placement, requests that hold a slot and resumed streams skip excluded upstreams; a request for which none is left is refused at once.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use fescue_core::{Era, TeamId, UpstreamId};
+use fescue_core::{DataCentreId, Era, TeamId, UpstreamId};
 use fescue_policy::rate_limit::RequestRate;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -13,7 +13,7 @@
 /// A kind of entry that the platform publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
-    /// Versions of the configuration.
+    /// Versions of the configuration, and evacuations of data centres.
     Configuration,
     /// The running upstreams.
     Upstreams,
@@ -28,6 +28,10 @@
     Upstream(Box<Upstream>),
     /// An upstream that is no longer listed.
     Removed(UpstreamId),
+    /// A data centre whose upstreams get no requests, since a version of the store.
+    Evacuated(DataCentreId, u64),
+    /// A data centre whose evacuation ended with a version of the store.
+    EvacuationEnded(DataCentreId, u64),
     /// An entry that can't be decoded; its name and the reason are logged.
     Unreadable {
         /// The name under which the entry is stored.
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -9,7 +9,7 @@
 
 use crate::adapter::{Batch, Entry, Registry, RegistryError, Topic};
 use crate::gateway::Gateway;
-use crate::{startup, versions};
+use crate::{evacuations, startup, versions};
 
 /// Time one call waits for changes; a dead connection is detected shortly after it.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -89,6 +89,7 @@
             Err(RegistryError::Unavailable(error)) => self.back_off(&error, started).await,
         }
         self.drop_expired();
+        self.review_evacuations();
     }
 
     fn apply_batch(&mut self, batch: Batch, read_at: Instant) {
@@ -103,6 +104,11 @@
             self.version = None;
             return;
         }
+        if self.topic == Topic::Configuration {
+            // A configuration may lead to upstreams that must get no request.
+            let copied = self.may_be_copied(list);
+            evacuations::receive_batch(&self.gateway, &batch, list, copied);
+        }
         let mut listed = Vec::new();
         for entry in batch.entries {
             if let Some(id) = self.apply(entry, list) {
@@ -189,6 +195,7 @@
                 }
                 None
             }
+            Entry::Evacuated(..) | Entry::EvacuationEnded(..) => None,
             Entry::Unreadable { name, reason } => {
                 tracing::warn!(topic = ?self.topic, entry = name, reason, "entry can't be read");
                 if self.topic == Topic::Upstreams
@@ -237,4 +244,12 @@
             );
         }
     }
+
+    /// Logs evacuations as they begin, and ends those that a copy of the store lacks while the store answers.
+    fn review_evacuations(&self) {
+        if self.topic == Topic::Configuration && self.failures == 0 {
+            evacuations::expire(&self.gateway);
+        }
+        evacuations::review(&self.gateway);
+    }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -183,6 +183,11 @@
                 .using(beat.busy_percent, beat.withdrawn)
         });
         let peers: Vec<_> = peers.collect();
+        let data_centres = self
+            .others
+            .live()
+            .filter_map(|(_, beat)| beat.data_centre.clone());
+        gateway.evacuations.set_routers(data_centres.collect());
         let live = peers.len() + 1;
         gateway.peers.lock().set(peers, complete);
         if live != gateway.routers() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,8 +2,8 @@
 //!
 //! # Lock order
 //!
-//! `catalog` before `time_limits` and before what [`crate::budget`] locks; `servers` before `versions`; no other two
-//! are held at once, and none across an `await`.
+//! `catalog` before `time_limits` and before what [`crate::budget`] locks; `evacuations` before
+//! `servers` before `versions`; no other two are held at once, and none across an `await`.
 
 mod guards;
 
@@ -28,6 +28,7 @@
 use crate::crowd::Crowd;
 use crate::datagrams::Courier;
 use crate::drain::Drain;
+use crate::evacuations::Evacuations;
 use crate::gossip::Outbox;
 use crate::lifecycle::{Event, Lifecycle, Phase};
 use crate::link_use::LinkUsage;
@@ -70,6 +71,8 @@
     pub request_buffers: Buffers,
     /// The upstreams that requests may be sent to.
     pub servers: Mutex<Servers>,
+    /// The data centres that are evacuated.
+    pub evacuations: Evacuations,
     /// The tokens of each team that this router may spend.
     pub budget: Arc<TokenBudget>,
     /// The datagrams to other routers.
@@ -145,6 +148,7 @@
             buffers: Buffers::open(ORDINARY_RESPONSE_BYTES, RESPONSE_BYTES),
             request_buffers: Buffers::open(ORDINARY_REQUEST_BYTES, REQUEST_BYTES),
             servers: Mutex::default(),
+            evacuations: Evacuations::default(),
             budget,
             courier,
             suspects: Mutex::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -19,6 +19,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::sync::Notify;
 
+use crate::evacuations::{self, EvacuationFinding};
 use crate::gateway::Gateway;
 use crate::upstreams::Server;
 
@@ -31,6 +32,13 @@
 /// Maximum number of findings of each kind that one exchange sends.
 const MAX_EXCHANGED: usize = 2 * MAX_FINDINGS;
 
+/// Maximum number of evacuations in one datagram. Their names are up to 64 bytes long.
+const MAX_EVACUATIONS: usize = 8;
+
+/// Number of routers that are told at once of a change of an evacuation. Most routers learn of it from the
+/// store at the same time, and each of them tells this many.
+const EVACUATION_PEERS: usize = 4;
+
 /// Maximum number of findings that wait to be sent.
 const MAX_WAITING: usize = 4096;
 
@@ -46,6 +54,9 @@
     /// The upstream processes that have ended and are still listed.
     #[serde(default)]
     pub ended: Vec<EndedFinding>,
+    /// The data centres that are evacuated, or were.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<EvacuationFinding>,
 }
 
 /// An upstream process that has ended.
@@ -113,6 +124,11 @@
         self.wake.notify_one();
     }
 
+    /// Has changes sent that are kept elsewhere.
+    pub fn wake(&self) {
+        self.wake.notify_one();
+    }
+
     /// Waits until there is something to send to the other routers.
     pub async fn changed(&self) {
         self.wake.notified().await;
@@ -162,7 +178,13 @@
     let findings = split(&crashes, &limits, &ended);
     let peers = gateway.peers.lock().addresses();
     let to_all = |peer: SocketAddr| findings.iter().map(move |part| (peer, part.clone()));
-    peers.into_iter().flat_map(to_all).collect()
+    let told = peers.choose_multiple(&mut rand::rng(), EVACUATION_PEERS);
+    let told: Vec<_> = told.copied().collect();
+    let mut sent: Vec<_> = peers.into_iter().flat_map(to_all).collect();
+    for part in split_evacuations(&gateway.evacuations.take_changed()) {
+        sent.extend(told.iter().map(|peer| (*peer, part.clone())));
+    }
+    sent
 }
 
 /// Returns the datagrams that tell another router, chosen at random, what this one knows: the evidence of
@@ -182,7 +204,8 @@
     limits.truncate(MAX_EXCHANGED);
     ended.shuffle(&mut rand::rng());
     ended.truncate(MAX_EXCHANGED);
-    let findings = split(&crashes, &limits, &ended);
+    let mut findings = split(&crashes, &limits, &ended);
+    findings.extend(split_evacuations(&gateway.evacuations.findings()));
     let peers = gateway.peers.lock().addresses();
     let Some(peer) = peers.choose(&mut rand::rng()) else {
         return Vec::new();
@@ -233,8 +256,19 @@
     crashes.chain(limits).chain(ended).collect()
 }
 
+/// Distributes what is known of evacuations over datagrams.
+fn split_evacuations(evacuations: &[EvacuationFinding]) -> Vec<Findings> {
+    let parts = evacuations.chunks(MAX_EVACUATIONS);
+    let part = |evacuations: &[EvacuationFinding]| Findings {
+        evacuations: evacuations.to_vec(),
+        ..Findings::default()
+    };
+    parts.map(part).collect()
+}
+
 /// Takes over what another router has found out.
 pub fn receive(gateway: &Gateway, findings: &Findings) {
+    evacuations::receive(gateway, &findings.evacuations);
     for finding in &findings.ended {
         receive_ended(gateway, finding);
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -14,17 +14,19 @@
 
 use bytes::Bytes;
 use fescue_core::outcome::Reason;
-use fescue_core::{Execution, Refusal, TeamId, UpstreamId};
+use fescue_core::{DataCentreId, Execution, Refusal, TeamId, UpstreamId};
 use fescue_policy::quarantine::{Attempt, Prints, Standing};
 use fescue_policy::retry::{Failure, may_retry};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use indexmap::IndexSet;
 use tokio::time::{Instant, timeout_at};
 
 use crate::adapter::ForwardContext;
 use crate::crash_check;
+use crate::evacuations::refuse_excluded;
 use crate::gateway::Gateway;
 use crate::link::{Link, LinkError};
 use crate::model::{Call, Route, Service};
@@ -88,6 +90,8 @@
     pub stopping: bool,
     /// Which upstreams may run the request, given what its caller has of the answer.
     pub continuation: Continuation,
+    /// The data centres that its route and team allow; `None` if they allow all.
+    pub allowed: Option<IndexSet<DataCentreId>>,
     /// The tokens that it consumes.
     pub usage: Usage,
 }
@@ -353,6 +357,9 @@
             if !self.can_continue() {
                 return self.refuse_continuation();
             }
+            if self.is_excluded() {
+                return refuse_excluded(&self.gateway);
+            }
             if let Some(block) = self.limited.or_else(|| self.all_blocked()) {
                 return refuse_blocked(block);
             }
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -43,7 +43,7 @@
                 self.limited = None;
                 return Some(slot);
             }
-            if !self.can_continue() {
+            if !self.can_continue() || self.is_excluded() {
                 return None;
             }
             if let Some(Block { wait, .. }) = self.limited {
@@ -108,6 +108,7 @@
             origin: self.continuation.origin(),
             tried: &self.tried,
             denied,
+            allowed: self.allowed.as_ref(),
             // After some denials only upstreams without a limit are left to try.
             limited: denied.len() < MAX_DENIALS,
             tie_breaker: self.prints.request,
--- a/crates/gateway/src/job/withdrawal.rs
+++ b/crates/gateway/src/job/withdrawal.rs
@@ -1,4 +1,4 @@
-//! Upstreams that say in their answers that they take no requests, for good or for some time.
+//! Upstreams that may get no requests: they said so in their answers, or their data centre is evacuated.
 
 use fescue_core::Refusal;
 use fescue_core::outcome::Reason;
@@ -11,6 +11,16 @@
 impl Job {
     /// Returns whether the upstream takes no requests since this one was placed there.
     pub(super) fn is_withdrawn(&self, server: &Server) -> bool {
+        let data_centre = &server.entry.data_centre;
+        if self.gateway.evacuations.contains(data_centre) {
+            tracing::info!(
+                request = self.call.id,
+                upstream = %server.entry.id,
+                %data_centre,
+                "data centre is evacuated since the request was placed there; not sent"
+            );
+            return true;
+        }
         let Some(hindrance) = server.facts.withdrawal() else {
             return false;
         };
@@ -51,6 +61,12 @@
         }
     }
 
+    /// Returns whether evacuations or the allowed regions leave no upstream of the service.
+    pub(super) fn is_excluded(&self) -> bool {
+        let servers = self.gateway.servers.lock();
+        servers.is_excluded(&self.service.name, self.allowed.as_ref())
+    }
+
     /// Returns how long all upstreams of the service are blocked.
     pub(super) fn all_blocked(&self) -> Option<Block> {
         let servers = self.gateway.servers.lock();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,8 +1,8 @@
 //! The request pipeline of fescuedrift on a platform.
 //!
 //! A gateway accepts any request whose host and path match a route, and forwards it to an upstream
-//! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`fleet`],
-//! [`gossip`], [`origins`], [`permits`], [`reload`] and [`usage`] are the controllers; [`gateway`] holds the state that
+//! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`evacuations`],
+//! [`fleet`], [`gossip`], [`origins`], [`permits`], [`reload`] and [`usage`] are the controllers; [`gateway`] holds the state that
 //! they share, and [`adapter`] the traits that connect a platform. The design is in
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
@@ -14,6 +14,7 @@
 pub mod crowd;
 pub mod datagrams;
 pub mod drain;
+pub mod evacuations;
 pub mod feeds;
 pub mod fleet;
 pub mod gateway;
@@ -33,6 +34,7 @@
 pub mod pipeline;
 pub mod plain;
 pub mod probe;
+pub mod regions;
 pub mod reload;
 pub mod reply;
 pub mod run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,8 @@
     pub manifest_version: Gauge,
     /// Number of upstreams listed by the platform.
     pub upstreams: Gauge,
+    /// Number of data centres that are evacuated.
+    pub evacuated_data_centres: Gauge,
 }
 
 impl Default for Metrics {
@@ -119,6 +121,7 @@
             log_dropped: Gauge::default(),
             manifest_version: Gauge::default(),
             upstreams: Gauge::default(),
+            evacuated_data_centres: Gauge::default(),
         };
         metrics.register()
     }
@@ -157,6 +160,9 @@
         r.register("manifest_version", help, self.manifest_version.clone());
         let help = "Upstreams that are listed.";
         r.register("upstreams", help, self.upstreams.clone());
+        let help = "Data centres that are evacuated.";
+        let gauge = self.evacuated_data_centres.clone();
+        r.register("evacuated_data_centres", help, gauge);
         self
     }
 
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -10,6 +10,19 @@
 
 use fescue_core::{DataCentreId, ServiceId, SoftwareVersion, TeamId, Tokens, UpstreamId};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// The name of a region, which may be any text. Data centres are mapped to regions by the settings.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Region(String);
+
+impl Region {
+    /// Creates the name of a region.
+    pub fn new(name: impl Into<String>) -> Self {
+        Self(name.into())
+    }
+}
 
 /// Whether a route's requests may be repeated, and how they are answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +62,8 @@
     pub anonymous: bool,
     /// Whether streams may be resumed at another upstream.
     pub resumable: bool,
+    /// The regions whose upstreams requests may be sent to; empty if all.
+    pub allowed_regions: Vec<Region>,
 }
 
 impl Route {
@@ -93,6 +108,8 @@
     pub priority: u8,
     /// The tokens that the team may consume in total; `None` if unlimited.
     pub prepaid: Option<Tokens>,
+    /// The regions whose upstreams its requests may be sent to; empty if all.
+    pub allowed_regions: Vec<Region>,
 }
 
 /// Limits on what a caller may send.
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -24,11 +24,12 @@
 use crate::adapter::MalformedHeader;
 use crate::budget;
 use crate::catalog::{Catalog, choose_service};
+use crate::evacuations::refuse_excluded;
 use crate::gateway::Gateway;
 use crate::job::{Job, Usage};
 use crate::model::{Call, Route, RouteKind, Service, Team};
 use crate::reply::{KeepConnection, ResponseBody, refusal_response};
-use crate::{plain, stream};
+use crate::{plain, regions, stream};
 use log::{Known, RequestLogger};
 use reserve::reserve;
 
@@ -192,6 +193,14 @@
         None => chosen?.clone(),
     };
     known.service = Some(service.name.clone());
+    let allowed = regions::allowed(&gateway.settings.regions, &route, team);
+    if gateway
+        .servers
+        .lock()
+        .is_excluded(&service.name, allowed.as_ref())
+    {
+        return Err(refuse_excluded(gateway));
+    }
     gateway.count_request(&service.name);
     let reservation = match team.filter(|team| team.prepaid.is_some()) {
         Some(team) => {
@@ -241,6 +250,7 @@
         unplaced: false,
         stopping: false,
         continuation,
+        allowed,
         sent,
         usage: Usage::open(reservation),
     };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,9 +10,12 @@
 use fescue_core::report::{Fault, Report};
 use fescue_core::{DataCentreId, VmId};
 use fescue_policy::window::Budget;
+use indexmap::IndexMap;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
+use crate::model::Region;
+
 /// The settings of one gateway process.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -46,6 +49,9 @@
     pub crowding: bool,
     /// Retry limits of the fleet.
     pub retries: Retries,
+    /// Regions of data centres.
+    #[serde(default)]
+    pub regions: IndexMap<DataCentreId, Region>,
     /// Log filter in the syntax of `tracing`.
     pub log: String,
 }
@@ -160,6 +166,7 @@
             ("store", self.store != other.store),
             ("drain_ms", self.drain != other.drain),
             ("crowding", self.crowding != other.crowding),
+            ("regions", self.regions != other.regions),
             ("log", self.log != other.log),
         ];
         let differ = fields.into_iter().filter(|(_, differs)| *differs);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescue_core::{ServiceId, UpstreamId};
+use fescue_core::{DataCentreId, ServiceId, UpstreamId};
 use fescue_policy::affinity::{self, Candidate};
+use indexmap::IndexSet;
 use tokio::time::Instant;
 
 use crate::model::Upstream;
@@ -90,6 +91,8 @@
     pub tried: &'a [UpstreamId],
     /// The upstreams whose limits allow this request none now.
     pub denied: &'a [UpstreamId],
+    /// The data centres whose upstreams may be chosen; `None` if all.
+    pub allowed: Option<&'a IndexSet<DataCentreId>>,
     /// Whether upstreams that name a limit may be chosen.
     pub limited: bool,
     /// A hash of the request, which decides between equal candidates.
@@ -101,6 +104,8 @@
 pub struct Servers {
     table: HashMap<UpstreamId, Arc<Server>>,
     departed: Departed,
+    /// The data centres whose upstreams get no requests.
+    evacuated: IndexSet<DataCentreId>,
 }
 
 impl Servers {
@@ -215,7 +220,7 @@
     /// these are not the reason.
     pub fn blocked(&self, requirements: &Requirements<'_>, now: Duration) -> Option<Block> {
         let usable = self.usable(requirements.service);
-        let suits = usable.filter(|server| server.suits(requirements));
+        let suits = usable.filter(|server| self.suits(server, requirements));
         suits.filter_map(|server| server.blocked(now)).min()
     }
 
@@ -223,6 +228,7 @@
     pub fn all_blocked(&self, service: &ServiceId, now: Duration) -> Option<Block> {
         let blocks: Option<Vec<_>> = self
             .usable(service)
+            .filter(|server| self.admits(server, None))
             .map(|server| server.blocked(now))
             .collect();
         blocks?.into_iter().min()
@@ -236,6 +242,52 @@
         self.table.values().filter(usable)
     }
 
+    /// Sets the data centres whose upstreams get no requests.
+    pub fn set_evacuated(&mut self, evacuated: IndexSet<DataCentreId>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Returns the number of this router's requests that are running in a data centre.
+    pub fn running_in(&self, data_centre: &DataCentreId) -> u32 {
+        let servers = self.table.values();
+        let servers = servers.filter(|server| server.entry.data_centre == *data_centre);
+        servers.map(|server| server.running()).sum()
+    }
+
+    /// Returns whether evacuations or the `allowed` data centres of a request leave no upstream of a service
+    /// that is listed and not leaving. A service that has no upstreams for another reason is not excluded,
+    /// unless only some data centres are allowed.
+    pub fn is_excluded(
+        &self,
+        service: &ServiceId,
+        allowed: Option<&IndexSet<DataCentreId>>,
+    ) -> bool {
+        if self.evacuated.is_empty() && allowed.is_none() {
+            return false;
+        }
+        let mut usable = self.usable(service);
+        if usable.any(|server| self.admits(server, allowed)) {
+            return false;
+        }
+        let listed = self.table.values().map(|server| &server.entry);
+        let mut known = listed.chain(self.departed.entries());
+        let evacuated = |entry: &Upstream| {
+            entry.service == *service && self.evacuated.contains(&entry.data_centre)
+        };
+        allowed.is_some() || known.any(evacuated)
+    }
+
+    /// Returns whether requests may be sent to the data centre of an upstream.
+    fn admits(&self, server: &Server, allowed: Option<&IndexSet<DataCentreId>>) -> bool {
+        let data_centre = &server.entry.data_centre;
+        !self.evacuated.contains(data_centre)
+            && allowed.is_none_or(|allowed| allowed.contains(data_centre))
+    }
+
+    fn suits(&self, server: &Server, requirements: &Requirements<'_>) -> bool {
+        self.admits(server, requirements.allowed) && server.suits(requirements)
+    }
+
     /// Returns whether a service has an upstream that is listed and not leaving.
     pub fn has_usable(&self, service: &ServiceId) -> bool {
         self.usable(service).next().is_some()
@@ -245,7 +297,7 @@
     /// pause allows.
     pub fn can_serve(&self, requirements: &Requirements<'_>) -> bool {
         let mut usable = self.usable(requirements.service);
-        usable.any(|server| server.suits(requirements))
+        usable.any(|server| self.suits(server, requirements))
     }
 
     /// Returns whether an upstream of the version that began a stream is listed and not leaving, even if it
@@ -270,7 +322,9 @@
         near: &str,
     ) -> Option<Slot> {
         let at = Moment::new(now);
-        let rated = self.table.values().filter_map(|server| {
+        let admitted = self.table.values();
+        let admitted = admitted.filter(|server| self.admits(server, requirements.allowed));
+        let rated = admitted.filter_map(|server| {
             let rating = server.rate(requirements, at)?;
             Some((server, rating))
         });
--- a/crates/gateway/src/upstreams/departed.rs
+++ b/crates/gateway/src/upstreams/departed.rs
@@ -52,6 +52,11 @@
         self.entries.insert(entry.id.clone(), (entry, now));
     }
 
+    /// Iterates over the last entries of the upstreams that left.
+    pub fn entries(&self) -> impl Iterator<Item = &Upstream> {
+        self.entries.values().map(|(entry, _)| entry)
+    }
+
     /// Returns what an upstream that left said in its answers, if the entry is one of the same process.
     pub fn facts(&self, entry: &Upstream) -> Option<Arc<Facts>> {
         let (known, _) = self.entries.get(&entry.id)?;
--- a/crates/gateway/tests/suite/facts.rs
+++ b/crates/gateway/tests/suite/facts.rs
@@ -38,6 +38,7 @@
         origin: None,
         tried: &[],
         denied: &[],
+        allowed: None,
         limited: true,
         tie_breaker: 1,
     };
--- a/crates/gateway/tests/suite/origins.rs
+++ b/crates/gateway/tests/suite/origins.rs
@@ -200,6 +200,7 @@
             origin: Some(&origin),
             tried: &[],
             denied: &[],
+            allowed: None,
             limited: true,
             tie_breaker,
         };
--- a/crates/gateway/tests/suite/site.rs
+++ b/crates/gateway/tests/suite/site.rs
@@ -125,6 +125,7 @@
         attempts: 2,
         anonymous: false,
         resumable: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -134,6 +135,7 @@
         keys: vec![format!("first-{name}"), format!("second-{name}")],
         priority: 0,
         prepaid: Some(Tokens::new(*prepaid)),
+        allowed_regions: Vec::new(),
     };
     let service = Service {
         name: "plain".parse().expect("a service"),
--- a/crates/gateway/tests/suite/upstreams.rs
+++ b/crates/gateway/tests/suite/upstreams.rs
@@ -35,6 +35,7 @@
         origin: None,
         tried: &[],
         denied: &[],
+        allowed: None,
         limited: true,
         tie_breaker: 1,
     };
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -179,6 +179,7 @@
         let values = [
             ("node_name|json", format!("\"{}\"", node.name)),
             ("zone|json", "\"here\"".to_owned()),
+            ("zones|json", "{}".to_owned()),
             (
                 "listen_addresses.frontend|json",
                 format!("\"{}\"", ports.callers),
