gateway, platform: tests of evacuations and allowed regions

Cause: the feature had no tests yet. Change: tests of decoding, the feed, an older copy, findings in any order, placement, requests that hold a slot and requests that wait.

--- a/crates/gateway/tests/suite/feeds.rs
+++ b/crates/gateway/tests/suite/feeds.rs
@@ -17,7 +17,7 @@
 use super::upstreams::upstream;
 
 /// A call, and its answer.
-type Scene = (&'static str, Result<Batch, RegistryError>);
+pub type Scene = (&'static str, Result<Batch, RegistryError>);
 
 /// Gives one answer after the other, each only to the call that it belongs to.
 struct Scripted(Mutex<VecDeque<Scene>>);
@@ -51,7 +51,7 @@
     }
 }
 
-fn batch(era: u64, version: u64, entries: Vec<Entry>) -> Result<Batch, RegistryError> {
+pub fn batch(era: u64, version: u64, entries: Vec<Entry>) -> Result<Batch, RegistryError> {
     let era = Some(Era::new(era));
     Ok(Batch {
         version,
@@ -74,7 +74,7 @@
 }
 
 /// Follows a topic until all answers are used; returns the gateway, whose feed waits from then on.
-async fn play(topic: Topic, scenes: Vec<Scene>) -> Arc<Gateway> {
+pub async fn play(topic: Topic, scenes: Vec<Scene>) -> Arc<Gateway> {
     let gateway = gateway("vm-1", &Store::open(1));
     let registry = Arc::new(Scripted(Mutex::new(scenes.into())));
     let follower = tokio::spawn(follow(Arc::clone(&gateway), registry.clone(), topic));
@@ -236,14 +236,14 @@
         ),
         ("changes after 12", batch(2, 13, vec![removed("b")])),
     ];
-    let gateway = play_slowly(scenes.clone(), Duration::from_secs(5)).await;
+    let gateway = play_slowly(Topic::Upstreams, scenes.clone(), Duration::from_secs(5)).await;
     assert_eq!(usable(&gateway), [""; 0]);
-    let gateway = play_slowly(scenes, Duration::from_secs(15)).await;
+    let gateway = play_slowly(Topic::Upstreams, scenes, Duration::from_secs(15)).await;
     assert_eq!(usable(&gateway), ["a"]);
 }
 
-/// Follows the upstreams through the given answers, then lets time pass with feeds that tell nothing.
-async fn play_slowly(scenes: Vec<Scene>, time: Duration) -> Arc<Gateway> {
+/// Follows a topic through the given answers, then lets time pass with feeds that tell nothing.
+pub async fn play_slowly(topic: Topic, scenes: Vec<Scene>, time: Duration) -> Arc<Gateway> {
     struct Quiet(Scripted);
 
     #[async_trait]
@@ -268,7 +268,7 @@
 
     let gateway = gateway("vm-1", &Store::open(1));
     let registry = Arc::new(Quiet(Scripted(Mutex::new(scenes.into()))));
-    tokio::spawn(follow(Arc::clone(&gateway), registry, Topic::Upstreams));
+    tokio::spawn(follow(Arc::clone(&gateway), registry, topic));
     for _ in 0..time.as_millis() / 100 {
         sleep(Duration::from_millis(1)).await;
         advance(Duration::from_millis(99)).await;
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,4 +1,4 @@
-//! Integration tests of the gateway, one file per feature. Only `handover` opens sockets, on
+//! Integration tests of the gateway, one file per feature. Only `handover` and `unsent` open sockets, on
 //! loopback.
 
 mod budget;
@@ -6,6 +6,7 @@
 mod crowd;
 mod cut_off;
 mod drain;
+mod evacuations;
 mod facts;
 mod feeds;
 mod handover;
@@ -17,10 +18,12 @@
 mod odd_rows;
 mod one_version;
 mod origins;
+mod regions;
 mod reload;
 mod settlement;
 mod site;
 mod sse;
 mod startup;
 mod time_limits;
+mod unsent;
 mod upstreams;
