--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod gateway_endings;
 mod gateway_endless;
 mod gateway_entries;
+mod gateway_evacuations;
 mod gateway_floods;
 mod gateway_grace;
 mod gateway_heads;
