--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -5,7 +5,7 @@
 
 use fescue_core::UpstreamId;
 use fescue_policy::rate_limit::RequestRate;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::Job;
 use crate::origins::Continuation;
@@ -40,18 +40,20 @@
         }
         loop {
             let changed = gateway.changed.notified();
+            let evacuated = gateway.evacuations.changed.notified();
             if let Some(slot) = self.try_acquire().await {
                 self.limited = None;
                 return Some(slot);
             }
-            if self.saturated.is_some() || !self.can_continue() {
+            if self.saturated.is_some() || !self.can_continue() || self.is_excluded() {
                 return None;
             }
             if let Some(Block { wait, .. }) = self.limited {
                 if Instant::now() + wait >= hold_until {
                     return None;
                 }
-                sleep(wait.max(MIN_LIMIT_WAIT)).await;
+                // An evacuation may leave nothing to wait for.
+                let _woken = timeout(wait.max(MIN_LIMIT_WAIT), evacuated).await;
                 continue;
             }
             let exhausted = self.sends == 0 && !self.tried.is_empty();
@@ -121,6 +123,7 @@
             origin: self.continuation.origin(),
             tried: &self.tried,
             denied,
+            allowed: self.allowed.as_ref(),
             // After some denials only upstreams without a limit are left to try.
             limited: denied.len() < MAX_DENIALS,
             tie_breaker: self.prints.request,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,9 +10,12 @@
 use fescue_core::report::{Fault, Report};
 use fescue_core::{DataCentreId, VmId};
 use fescue_policy::window::Budget;
+use indexmap::IndexMap;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
+use crate::model::Region;
+
 /// The settings of one gateway process.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -49,6 +52,9 @@
     pub scheduling: bool,
     /// Retry limits of the fleet.
     pub retries: Retries,
+    /// Regions of data centres.
+    #[serde(default)]
+    pub regions: IndexMap<DataCentreId, Region>,
     /// Log filter in the syntax of `tracing`.
     pub log: String,
 }
@@ -164,6 +170,7 @@
             ("drain_ms", self.drain != other.drain),
             ("crowding", self.crowding != other.crowding),
             ("scheduling", self.scheduling != other.scheduling),
+            ("regions", self.regions != other.regions),
             ("log", self.log != other.log),
         ];
         let differ = fields.into_iter().filter(|(_, differs)| *differs);
--- a/crates/gateway/src/upstreams/shards.rs
+++ b/crates/gateway/src/upstreams/shards.rs
@@ -64,7 +64,10 @@
             let score = hash::score(key, server.member);
             let better = best.is_none_or(|(known, _)| score > known);
             let other = || besides.is_none_or(|shard| server.shard(shards) != shard);
-            let open = || server.rate(requirements, at).is_some_and(|r| r.accepts);
+            let open = || {
+                self.admits(server, requirements.allowed)
+                    && server.rate(requirements, at).is_some_and(|r| r.accepts)
+            };
             if better && other() && open() {
                 best = Some((score, server));
             }
@@ -90,6 +93,7 @@
             origin: None,
             tried: &[],
             denied: &[],
+            allowed: None,
             limited: true,
             tie_breaker: 0,
         };
@@ -97,6 +101,7 @@
         let members = servers.into_iter().filter(|server| {
             server.shard(shards) == shard
                 && !excluded.contains(&server.short_hash())
+                && self.admits(server, None)
                 && server.rate(&requirements, at).is_some_and(|r| r.accepts)
         });
         let member = |server: &Arc<Server>| Member {
@@ -116,6 +121,9 @@
         upstream: &UpstreamId,
     ) -> Option<Slot> {
         let server = self.table.get(upstream)?;
+        if !self.admits(server, requirements.allowed) {
+            return None;
+        }
         let rating = server.rate(requirements, Moment::new(now))?;
         let slot = || Slot::open(Arc::clone(server), requirements.input);
         rating.accepts.then(slot)
