--- a/crates/router/tests/suite/gateway_site.rs
+++ b/crates/router/tests/suite/gateway_site.rs
@@ -31,6 +31,8 @@
     pub ledgers: Vec<Upstream>,
     pub team: Team,
     pub folder: PathBuf,
+    /// Whether the gateways schedule prompts; the variable `FESCUE_SCHEDULING` turns it on for all tests.
+    pub scheduling: bool,
 }
 
 impl Site {
@@ -45,6 +47,7 @@
             ledgers: Vec::new(),
             team: Team::new("yard", prepaid),
             folder: std::env::temp_dir().join(format!("fescue-{name}-{}", std::process::id())),
+            scheduling: std::env::var_os("FESCUE_SCHEDULING").is_some(),
         };
         std::fs::create_dir_all(&site.folder).expect("a folder");
         for index in 0..2 {
@@ -93,6 +96,7 @@
             store: self.store.address,
             ports: Ports::allocate().expect("ports"),
             crowding,
+            scheduling: self.scheduling,
         };
         Gateway::spawn(&start).expect("a gateway")
     }
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -22,6 +22,7 @@
 mod gateway_reloads;
 mod gateway_restored;
 mod gateway_resumes;
+mod gateway_schedulers;
 mod gateway_silences;
 mod gateway_site;
 mod gateway_stops;
