cold upstreams: permits by the warm-up rate

Change: warmup_s and warmup_per_s of services, reports of entries, answers and other routers, grants within half of the bound for each of two homes; a request without a valid permit is not sent to a cold upstream.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -132,6 +132,8 @@
     pub leaving: bool,
     /// The time for which an upstream that rejects the request wants no other one; `None` if not stated.
     pub pause: Option<Duration>,
+    /// The time for which the upstream stays cold; `None` if not stated.
+    pub warmup: Option<Duration>,
 }
 
 /// Parses the rate of requests that an upstream names in a header. A malformed one is logged and left out.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::budget::Budget as TokenBudget;
 use crate::buffers::Buffers;
 use crate::catalog::Catalog;
+use crate::cold::ColdUpstreams;
 use crate::crowd::Crowd;
 use crate::datagrams::Courier;
 use crate::drain::Drain;
@@ -82,6 +83,8 @@
     pub peers: Arc<Mutex<Peers>>,
     /// The permits for requests to upstreams that name limits.
     pub permits: Permits,
+    /// The upstreams that are cold.
+    pub cold: ColdUpstreams,
     /// The upstream versions that began streams.
     pub origins: Origins,
     /// The versions that services have had.
@@ -151,6 +154,7 @@
             outbox: Outbox::default(),
             peers,
             permits: Permits::default(),
+            cold: ColdUpstreams::default(),
             origins: Origins::default(),
             versions: Versions::default(),
             link,
@@ -206,7 +210,11 @@
         self.time_limits.lock().record(Instant::now(), limits);
         self.budget.set_prepaid(catalog.prepaid());
         self.metrics.teams.set_teams(catalog.team_names());
-        *current = Some(Arc::new(catalog));
+        let catalog = Arc::new(catalog);
+        *current = Some(Arc::clone(&catalog));
+        drop(current);
+        let services = &catalog.manifest().services;
+        self.servers.lock().set_warmups(services);
         true
     }
 
@@ -289,7 +297,7 @@
             rate,
             at: self.now(),
         };
-        let before = server.limit(self.now());
+        let before = server.stated_limit(self.now());
         if !server.record_statement(statement) {
             return;
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,13 +12,14 @@
 use fescue_core::UpstreamId;
 use fescue_policy::quarantine;
 use fescue_policy::rate_limit::{RequestRate, STATEMENT_TTL, Statement};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::sync::Notify;
 
+use crate::cold::{self, ColdFinding};
 use crate::gateway::Gateway;
 use crate::upstreams::Server;
 
@@ -46,6 +47,9 @@
     /// The upstream processes that have ended and are still listed.
     #[serde(default)]
     pub ended: Vec<EndedFinding>,
+    /// The upstreams that are cold.
+    #[serde(default)]
+    pub cold: Vec<ColdFinding>,
 }
 
 /// An upstream process that has ended.
@@ -80,6 +84,7 @@
     store: Mutex<IndexSet<u64>>,
     limits: Mutex<IndexSet<UpstreamId>>,
     ended: Mutex<IndexSet<UpstreamId>>,
+    cold: Mutex<IndexSet<UpstreamId>>,
     wake: Notify,
 }
 
@@ -113,6 +118,14 @@
         self.wake.notify_one();
     }
 
+    /// Adds an upstream that is cold, which is to be told to other routers.
+    pub fn push_cold(&self, upstream: &UpstreamId) {
+        let mut cold = self.cold.lock();
+        cold.insert(upstream.clone());
+        cold.truncate(MAX_WAITING);
+        self.wake.notify_one();
+    }
+
     /// Waits until there is something to send to the other routers.
     pub async fn changed(&self) {
         self.wake.notified().await;
@@ -162,7 +175,33 @@
     let findings = split(&crashes, &limits, &ended);
     let peers = gateway.peers.lock().addresses();
     let to_all = |peer: SocketAddr| findings.iter().map(move |part| (peer, part.clone()));
-    peers.into_iter().flat_map(to_all).collect()
+    let mut all: Vec<_> = peers.into_iter().flat_map(to_all).collect();
+    all.extend(new_cold_findings(gateway));
+    all
+}
+
+fn new_cold_findings(gateway: &Gateway) -> impl Iterator<Item = (SocketAddr, Findings)> {
+    let upstreams: Vec<_> = gateway.outbox.cold.lock().drain(..).collect();
+    let mut told: IndexMap<SocketAddr, Vec<ColdFinding>> = IndexMap::new();
+    for upstream in upstreams {
+        if let Some(finding) = cold::finding(gateway, &upstream) {
+            for peer in cold::listeners(gateway, &finding) {
+                told.entry(peer).or_default().push(finding.clone());
+            }
+        }
+    }
+    let parts = |(peer, findings): (SocketAddr, Vec<ColdFinding>)| {
+        let parts: Vec<_> = split_cold(&findings).collect();
+        parts.into_iter().map(move |part| (peer, part))
+    };
+    told.into_iter().flat_map(parts)
+}
+
+fn split_cold(cold: &[ColdFinding]) -> impl Iterator<Item = Findings> {
+    cold.chunks(MAX_FINDINGS).map(|cold| Findings {
+        cold: cold.to_vec(),
+        ..Findings::default()
+    })
 }
 
 /// Returns the datagrams that tell another router, chosen at random, what this one knows: the evidence of
@@ -182,7 +221,11 @@
     limits.truncate(MAX_EXCHANGED);
     ended.shuffle(&mut rand::rng());
     ended.truncate(MAX_EXCHANGED);
-    let findings = split(&crashes, &limits, &ended);
+    let mut cold = cold::numbered_findings(gateway);
+    cold.shuffle(&mut rand::rng());
+    cold.truncate(MAX_EXCHANGED);
+    let mut findings = split(&crashes, &limits, &ended);
+    findings.extend(split_cold(&cold));
     let peers = gateway.peers.lock().addresses();
     let Some(peer) = peers.choose(&mut rand::rng()) else {
         return Vec::new();
@@ -238,6 +281,9 @@
     for finding in &findings.ended {
         receive_ended(gateway, finding);
     }
+    for finding in &findings.cold {
+        cold::receive_finding(gateway, finding);
+    }
     for finding in &findings.limits {
         receive_limit(gateway, finding);
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -168,7 +168,7 @@
             Err(_) => return Err(Failure::TimedOut),
         };
         // Connecting takes long at a full link, through which changes of the upstreams come as well.
-        if self.is_withdrawn(&server) || self.gateway.is_isolated() {
+        if self.is_withdrawn(&server) || self.gateway.is_isolated() || self.lacks_permit(&slot) {
             self.return_permit(&slot);
             server.recycle(link);
             slot.cancel();
@@ -231,7 +231,7 @@
         if meta.limit.is_some() || !(meta.declined || meta.misdirected) {
             self.gateway.record_limit(&server, meta.limit);
         } else {
-            self.return_permit(&slot);
+            self.return_declined(&slot, meta.misdirected);
         }
         if meta.declined || meta.misdirected {
             // An upstream whose weights differ from those that a stream began with is sound.
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -9,7 +9,7 @@
 
 use super::Job;
 use crate::origins::Continuation;
-use crate::permits;
+use crate::permits::{self, Permit};
 use crate::upstreams::{Block, Requirements, Server, Slot};
 
 /// The longest wait for an upstream to become available before the first attempt.
@@ -72,8 +72,8 @@
                 return Some(slot);
             };
             match permits::take(&self.gateway, &server, rate, claim).await {
-                Ok(()) => {
-                    slot.mark_permitted();
+                Ok(permit) => {
+                    slot.mark_permitted(permit);
                     self.log_placed(&server, Some(rate));
                     return Some(slot);
                 }
@@ -138,11 +138,37 @@
         );
     }
 
-    /// Gives back the permit of a request that the upstream did not get, or rejected without naming a
-    /// limit.
+    /// Gives back the permit of a request that the upstream did not get.
     pub(super) fn return_permit(&self, slot: &Slot) {
-        if slot.is_permitted() {
-            permits::put_back(&self.gateway, slot.server());
+        if let Some(permit) = slot.permit() {
+            permits::put_back(&self.gateway, slot.server(), permit);
         }
     }
+
+    /// Gives back the permit of a request that the upstream rejected without naming a limit. A cold upstream has
+    /// received it, unless it was `misdirected`.
+    pub(super) fn return_declined(&self, slot: &Slot, misdirected: bool) {
+        if misdirected || slot.permit().is_some_and(|permit| !permit.is_cold()) {
+            self.return_permit(slot);
+        }
+    }
+
+    /// Returns whether a request must not be sent to an upstream that is cold, since it was placed before that was
+    /// known or its permit is too old.
+    pub(super) fn lacks_permit(&self, slot: &Slot) -> bool {
+        let cold = || slot.server().cold_rate(self.gateway.now()).is_some();
+        let lacking = match slot.permit().filter(Permit::is_cold) {
+            Some(permit) => permit.is_overdue(),
+            None => cold(),
+        };
+        if lacking {
+            let upstream = slot.server().entry.id.as_str();
+            tracing::info!(
+                request = self.call.id,
+                upstream,
+                "no valid permit for a cold upstream; not sent"
+            );
+        }
+        lacking
+    }
 }
--- a/crates/gateway/src/job/withdrawal.rs
+++ b/crates/gateway/src/job/withdrawal.rs
@@ -6,6 +6,7 @@
 
 use super::Job;
 use crate::adapter::ResponseMeta;
+use crate::cold;
 use crate::upstreams::{Block, Server};
 
 impl Job {
@@ -38,6 +39,9 @@
                 "upstream says that it is leaving; it gets no more requests"
             );
         }
+        if let Some(remaining) = meta.warmup {
+            cold::receive_answer(&self.gateway, server, remaining);
+        }
         if let Some(pause) = meta.pause
             && server.facts.record_pause(request, pause, sent)
         {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod buffers;
 pub mod catalog;
+pub mod cold;
 pub mod crash_check;
 pub mod crowd;
 pub mod datagrams;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,8 @@
     pub manifest_version: Gauge,
     /// Number of upstreams listed by the platform.
     pub upstreams: Gauge,
+    /// Number of upstreams that are cold.
+    pub cold_upstreams: Gauge,
 }
 
 impl Default for Metrics {
@@ -119,6 +121,7 @@
             log_dropped: Gauge::default(),
             manifest_version: Gauge::default(),
             upstreams: Gauge::default(),
+            cold_upstreams: Gauge::default(),
         };
         metrics.register()
     }
@@ -157,6 +160,8 @@
         r.register("manifest_version", help, self.manifest_version.clone());
         let help = "Upstreams that are listed.";
         r.register("upstreams", help, self.upstreams.clone());
+        let help = "Upstreams that are cold.";
+        r.register("cold_upstreams", help, self.cold_upstreams.clone());
         self
     }
 
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use fescue_core::{DataCentreId, ServiceId, SoftwareVersion, TeamId, Tokens, UpstreamId};
+use fescue_policy::warmup::Warmup;
 use indexmap::IndexMap;
 
 /// Whether a route's requests may be repeated, and how they are answered.
@@ -71,6 +72,8 @@
     pub connections: u32,
     /// The properties of its model engines; `None` for other services.
     pub engine: Option<Engine>,
+    /// How its upstreams warm up; `None` if cold ones tolerate the usual rate.
+    pub warmup: Option<Warmup>,
 }
 
 /// The properties of a model engine.
@@ -141,7 +144,7 @@
     pub slots: u32,
     /// Whether it is shutting down and takes no new requests.
     pub draining: bool,
-    /// The remaining warm-up time, in which it is slow.
+    /// The remaining warm-up time as of when the entry was written.
     pub warmup: Duration,
     /// The start time by the upstream's own clock, which tells apart two starts under one name.
     pub started_at: Option<u64>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -348,6 +348,13 @@
         Some(homes)
     }
 
+    /// Returns this router's place among the routers that a key selects, the best one being 0; `None` if it is none of
+    /// them or the list is incomplete.
+    pub fn own_rank(&mut self, key: u64) -> Option<usize> {
+        let homes = self.complete.then(|| self.rank_key(key))?;
+        homes.iter().position(|home| *home == Home::Own)
+    }
+
     /// Returns the addresses of up to `most` other routers that a key selects, best first. All routers that
     /// know the same peers select the same ones.
     pub fn select(&self, key: u64, most: usize) -> Vec<SocketAddr> {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -5,12 +5,15 @@
 //! does not answer is skipped for a second; without any, a router keeps to its equal share. See
 //! [docs/design/service.md](../../../docs/design/service.md).
 
+mod refund;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use fescue_core::{TeamId, UpstreamId, hash};
 use fescue_policy::rate_limit::{Bucket, Claim, Denial, RequestRate};
+use fescue_policy::warmup::Grants;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -21,6 +24,8 @@
 use crate::gateway::Gateway;
 use crate::peers::Home;
 use crate::upstreams::Server;
+use refund::Granter;
+pub use refund::{Permit, Refund, put_back, take_back};
 
 /// Time to wait for a home's answer before the question is sent again, and before the home is skipped;
 /// longer than the longest round trip within a region.
@@ -54,6 +59,9 @@
     rate: RequestRate,
     team: u64,
     rank: u8,
+    /// The rate that the upstream tolerates, if it is cold; `rate` is not above it.
+    #[serde(default)]
+    cold: Option<RequestRate>,
 }
 
 /// Answers a [`Question`].
@@ -70,11 +78,20 @@
     empty: bool,
 }
 
-/// Gives back a permit whose request the upstream did not get.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Refund {
-    upstream: UpstreamId,
-    started: Option<u64>,
+/// The limits of an upstream at one time.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    /// The rate that its answers name.
+    stated: Option<RequestRate>,
+    /// The rate that it tolerates, if it is cold.
+    cold: Option<RequestRate>,
+}
+
+/// An answer that was given, with the rate of a cold upstream by which it was decided.
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    answer: Answer,
+    cold: Option<RequestRate>,
 }
 
 type BucketKey = (UpstreamId, Option<u64>);
@@ -83,14 +100,54 @@
 #[derive(Debug, Default)]
 pub struct Permits {
     buckets: Mutex<HashMap<BucketKey, Bucket>>,
+    /// The grants for cold upstreams. A process that starts under a known id takes over those of the one before:
+    /// what the two receive can't be told apart.
+    cold: Mutex<HashMap<UpstreamId, Grants>>,
     /// The questions that wait for their answers, by number.
     open: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
-    answers: Mutex<indexmap::IndexMap<u64, Answer>>,
+    answers: Mutex<indexmap::IndexMap<u64, Given>>,
+    /// The numbers of the questions whose permits were given back.
+    refunded: Mutex<indexmap::IndexSet<u64>>,
     silent: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 impl Permits {
+    /// Grants a request within the limits of an upstream.
     fn grant(
+        &self,
+        key: BucketKey,
+        claim: Claim,
+        limits: Limits,
+        now: Duration,
+    ) -> Result<(), Denial> {
+        let Limits { stated, cold } = limits;
+        let upstream = key.0.clone();
+        if let Some(rate) = cold {
+            let rate = stated.map_or(rate, |stated| stated.min(rate));
+            self.with_cold(&upstream, now, |grants| grants.grant(claim, rate, now))?;
+        }
+        let granted = stated.map_or(Ok(()), |rate| self.grant_stated(key, claim, rate, now));
+        if let (Err(_), Some(rate)) = (&granted, cold) {
+            self.with_cold(&upstream, now, |grants| grants.put_back(rate));
+        }
+        granted
+    }
+
+    fn with_cold<T>(
+        &self,
+        upstream: &UpstreamId,
+        now: Duration,
+        act: impl FnOnce(&mut Grants) -> T,
+    ) -> T {
+        let mut cold = self.cold.lock();
+        if cold.len() >= MAX_BUCKETS {
+            cold.retain(|_, grants| now.saturating_sub(grants.last_use()) < BUCKET_TTL);
+        }
+        let grants = cold.entry(upstream.clone());
+        act(grants.or_insert_with(|| Grants::open(now)))
+    }
+
+    fn grant_stated(
         &self,
         key: BucketKey,
         claim: Claim,
@@ -133,7 +190,7 @@
     }
 }
 
-/// Asks for a permit to send one request to an upstream that names the limit `rate`.
+/// Asks for a permit to send one request to an upstream whose limit is `rate`.
 ///
 /// # Errors
 ///
@@ -143,9 +200,18 @@
     server: &Server,
     rate: RequestRate,
     claim: Claim,
-) -> Result<(), Denial> {
+) -> Result<Permit, Denial> {
     let key = (server.entry.id.clone(), server.entry.started_at);
-    let Some(homes) = gateway.peers.lock().homes_of(place(&key)) else {
+    let limits = Limits {
+        stated: server.stated_limit(gateway.now()),
+        cold: server.cold_rate(gateway.now()),
+    };
+    let permit = |granter| Permit {
+        granter,
+        cold: limits.cold,
+        asked: Instant::now(),
+    };
+    let Some(homes) = gateway.peers.lock().homes_of(place(&key.0)) else {
         return Err(Denial {
             wait: UNKNOWN_WAIT,
             empty: true,
@@ -153,7 +219,10 @@
     };
     for home in homes.into_iter().take(MAX_HOMES) {
         match home {
-            Home::Own => return gateway.permits.grant(key, claim, rate, gateway.now()),
+            Home::Own => {
+                let granted = gateway.permits.grant(key, claim, limits, gateway.now());
+                return granted.map(|()| permit(Granter::Own));
+            }
             Home::Peer(peer) if gateway.permits.is_silent(peer) => {}
             Home::Peer(peer) => {
                 let question = Question {
@@ -163,9 +232,12 @@
                     rate,
                     team: claim.team,
                     rank: claim.rank,
+                    cold: limits.cold,
                 };
+                let granter = Granter::Peer(peer, question.number);
+                let granted = permit(granter);
                 match ask(gateway, peer, question).await {
-                    Some(answer) if answer.granted => return Ok(()),
+                    Some(answer) if answer.granted => return Ok(granted),
                     Some(answer) => {
                         return Err(Denial {
                             wait: answer.wait,
@@ -181,7 +253,31 @@
             }
         }
     }
+    take_share(gateway, key, rate, limits)?;
+    Ok(permit(Granter::Share))
+}
+
+/// Takes a request from this router's share, which it may send while no home answers.
+fn take_share(
+    gateway: &Gateway,
+    key: BucketKey,
+    rate: RequestRate,
+    limits: Limits,
+) -> Result<(), Denial> {
     let (routers, now) = (gateway.routers(), gateway.now());
+    if let Some(cold) = limits.cold {
+        let rank = gateway.peers.lock().own_rank(place(&key.0));
+        let permits = &gateway.permits;
+        if !permits.with_cold(&key.0, now, |grants| grants.take_share(cold, rank, now)) {
+            return Err(Denial {
+                wait: SILENT_TTL,
+                empty: true,
+            });
+        }
+        if limits.stated.is_none() {
+            return Ok(());
+        }
+    }
     if gateway.permits.take_share(key, rate, routers, now) {
         return Ok(());
     }
@@ -222,40 +318,21 @@
     }
 }
 
-/// Gives back the permit of a request that the upstream did not get.
-pub fn put_back(gateway: &Gateway, server: &Server) {
-    let key = (server.entry.id.clone(), server.entry.started_at);
-    let homes = gateway.peers.lock().homes_of(place(&key));
-    let first = homes.and_then(|homes| homes.first().copied());
-    match first {
-        Some(Home::Peer(peer)) => {
-            let (upstream, started) = key;
-            let refund = Refund { upstream, started };
-            gateway.courier.send(peer, Datagram::Refund(refund));
-        }
-        Some(Home::Own) | None => gateway.permits.put_back(&key),
-    }
-}
-
 /// Answers another router's question; a repeated one gets the same answer.
 pub fn answer(gateway: &Gateway, question: Question) -> Answer {
     let number = question.number;
-    if let Some(answer) = gateway.permits.answers.lock().get(&number) {
-        return *answer;
+    if let Some(given) = gateway.permits.answers.lock().get(&number) {
+        return given.answer;
     }
     let claim = Claim {
         team: question.team,
         rank: question.rank,
     };
     // This router may have heard the upstream later than the one that asks.
-    let known = {
-        let servers = gateway.servers.lock();
-        let server = servers.get(&question.upstream);
-        server.and_then(|server| server.limit(gateway.now()))
-    };
-    let rate = known.unwrap_or(question.rate);
+    let limits = known_limits(gateway, &question);
+    let cold = limits.cold;
     let key = (question.upstream, question.started);
-    let granted = gateway.permits.grant(key, claim, rate, gateway.now());
+    let granted = gateway.permits.grant(key, claim, limits, gateway.now());
     let denial = granted.err();
     let answer = Answer {
         number,
@@ -267,10 +344,30 @@
     if answers.len() >= MAX_ANSWERS {
         answers.drain(..MAX_ANSWERS / 2);
     }
-    answers.insert(number, answer);
+    answers.insert(number, Given { answer, cold });
     answer
 }
 
+/// Returns the limits by which this router answers a question.
+fn known_limits(gateway: &Gateway, question: &Question) -> Limits {
+    let now = gateway.now();
+    let servers = gateway.servers.lock();
+    let server = servers.get(&question.upstream);
+    let stated = server.and_then(|server| server.stated_limit(now));
+    let cold = server.and_then(|server| server.cold_rate(now));
+    let asked = question.cold.map(|cold| cold.min(question.rate));
+    let cold = match (cold, asked) {
+        (Some(known), Some(asked)) => Some(known.min(asked)),
+        (known, asked) => known.or(asked),
+    };
+    // Without a cold rate, the question's rate is the one that the upstream named.
+    let named = question.cold.is_none().then_some(question.rate);
+    Limits {
+        stated: stated.or(named),
+        cold,
+    }
+}
+
 /// Passes an answer on to the request that waits for it. An answer that comes too late is dropped.
 pub fn receive(gateway: &Gateway, answer: Answer) {
     if let Some(waiting) = gateway.permits.open.lock().remove(&answer.number) {
@@ -279,12 +376,7 @@
     }
 }
 
-/// Takes back a permit that another router gives back.
-pub fn take_back(gateway: &Gateway, refund: Refund) {
-    gateway.permits.put_back(&(refund.upstream, refund.started));
-}
-
 /// Returns the hash that selects the homes of an upstream.
-fn place((upstream, _): &BucketKey) -> u64 {
+pub(crate) fn place(upstream: &UpstreamId) -> u64 {
     hash::digest64(upstream.as_str().as_bytes())
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,9 @@
 use crate::logs::Logs;
 use crate::reload::Reload;
 use crate::settings::Settings;
-use crate::{budget, datagrams, feeds, fleet, ingress, origins, probe, startup, usage, versions};
+use crate::{
+    budget, cold, datagrams, feeds, fleet, ingress, origins, probe, startup, usage, versions,
+};
 
 /// The interfaces to a platform, provided by its adapter.
 pub struct Platform {
@@ -105,6 +107,7 @@
     tokio::spawn(usage::run(Arc::clone(&gateway)));
     tokio::spawn(fleet::run(Arc::clone(&gateway), Arc::clone(&table)));
     tokio::spawn(origins::run(Arc::clone(&gateway)));
+    tokio::spawn(cold::run(Arc::clone(&gateway)));
     tokio::spawn(versions::run(Arc::clone(&gateway)));
     tokio::spawn(probe::serve_ready(Arc::clone(&gateway), ready));
     tokio::spawn(probe::serve_metrics(Arc::clone(&gateway), logs, metrics));
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -3,6 +3,7 @@
 mod departed;
 mod facts;
 mod server;
+mod warmth;
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
@@ -15,18 +16,21 @@
 
 use crate::model::Upstream;
 use crate::origins::Origin;
+use crate::permits::Permit;
 
 use departed::Departed;
 pub use facts::{Facts, Hindrance, Withdrawal};
 pub use server::{BrokenRequest, Server};
 use server::{Moment, Rating};
+pub use warmth::Warmth;
+use warmth::Warmths;
 
 /// A request's share of an upstream's load, released when dropped.
 #[derive(Debug)]
 pub struct Slot {
     server: Arc<Server>,
     unread: u64,
-    permitted: bool,
+    permit: Option<Permit>,
 }
 
 impl Slot {
@@ -42,14 +46,14 @@
         self.unread = 0;
     }
 
-    /// Records that the upstream's limit allows the request.
-    pub fn mark_permitted(&mut self) {
-        self.permitted = true;
+    /// Records the permit of the request, which the upstream's limit allows.
+    pub fn mark_permitted(&mut self, permit: Permit) {
+        self.permit = Some(permit);
     }
 
-    /// Returns whether a permit was taken for the request.
-    pub fn is_permitted(&self) -> bool {
-        self.permitted
+    /// Returns the permit that was taken for the request.
+    pub fn permit(&self) -> Option<Permit> {
+        self.permit
     }
 
     /// Gives the slot up before the request was sent.
@@ -101,6 +105,7 @@
 pub struct Servers {
     table: HashMap<UpstreamId, Arc<Server>>,
     departed: Departed,
+    warmths: Warmths,
 }
 
 impl Servers {
@@ -108,6 +113,7 @@
     /// what its answers said of it unless it restarted.
     pub fn put(&mut self, entry: Upstream) {
         let mut server = Server::open(entry);
+        server.warmth = self.warmths.open(&server.entry);
         if let Some(facts) = self.departed.facts(&server.entry) {
             server.facts = facts;
         }
@@ -298,7 +304,7 @@
         Some(Slot {
             server,
             unread,
-            permitted: false,
+            permit: None,
         })
     }
 }
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use super::{Block, Facts, Requirements};
+use super::{Block, Facts, Requirements, Warmth};
 use crate::link::{Link, LinkError};
 use crate::model::Upstream;
 use crate::origins::Origin;
@@ -96,18 +96,21 @@
         self.statement?.limit(now)
     }
 
-    fn blocked(&self, at: Moment) -> Option<Duration> {
-        self.limit(at.now)?;
+    /// Returns how long its limit, or that of a `cold` upstream, allows no request.
+    fn blocked(&self, cold: bool, at: Moment) -> Option<Duration> {
+        if !cold {
+            self.limit(at.now)?;
+        }
         let until = self.blocked_until?;
         let left = until.saturating_duration_since(at.instant);
         Some(left).filter(|left| !left.is_zero())
     }
 
     /// Returns whether the limit may allow a request; one that is not `limited` needs that there is none.
-    fn allows(&self, limited: bool, at: Moment) -> bool {
+    fn allows(&self, limited: bool, cold: bool, at: Moment) -> bool {
         match limited {
-            true => self.blocked(at).is_none(),
-            false => self.limit(at.now).is_none(),
+            true => self.blocked(cold, at).is_none(),
+            false => !cold && self.limit(at.now).is_none(),
         }
     }
 }
@@ -121,6 +124,8 @@
     pub(super) state: Arc<Mutex<State>>,
     /// What is known of the process.
     pub facts: Arc<Facts>,
+    /// What is known of its warm-up.
+    pub warmth: Arc<Warmth>,
 }
 
 /// The time within which a broken request and a refused connection count as one crash.
@@ -153,6 +158,7 @@
             member,
             state: Arc::default(),
             facts: Arc::default(),
+            warmth: Arc::default(),
         }
     }
 
@@ -262,11 +268,34 @@
         self.state.lock().statement
     }
 
-    /// Returns the limit in force.
-    pub fn limit(&self, now: Duration) -> Option<RequestRate> {
+    /// Returns the limit that the upstream's answers name.
+    pub fn stated_limit(&self, now: Duration) -> Option<RequestRate> {
         self.state.lock().limit(now)
     }
 
+    /// Returns the limit in force: the smaller one of what the answers name and of what a cold upstream tolerates.
+    pub fn limit(&self, now: Duration) -> Option<RequestRate> {
+        let (stated, cold) = (self.stated_limit(now), self.cold_rate(now));
+        match (stated, cold) {
+            (Some(stated), Some(cold)) => Some(stated.min(cold)),
+            _ => stated.or(cold),
+        }
+    }
+
+    /// Returns the rate that a cold upstream tolerates; `None` if it is warm.
+    ///
+    /// A process that has ended counts as cold until the entry of its successor is known: the successor may listen
+    /// on its address already.
+    pub fn cold_rate(&self, now: Duration) -> Option<RequestRate> {
+        let (warmup, left) = self.warmth.state(now)?;
+        (left.is_some() || self.facts.is_ended()).then_some(warmup.rate)
+    }
+
+    /// Returns for how long its reports say that it is cold.
+    pub fn cold_time(&self, now: Duration) -> Option<Duration> {
+        self.warmth.state(now).and_then(|(_, left)| left)
+    }
+
     /// Gives the upstream no request for some time, since its limit is used up.
     pub fn block(&self, wait: Duration) {
         self.state.lock().blocked_until = Some(Instant::now() + wait);
@@ -275,7 +304,8 @@
     /// Returns how long the upstream's limit or a pause allows no request; `None` if it may get one now.
     pub(super) fn blocked(&self, now: Duration) -> Option<Block> {
         let block = |wait, pausing| Block { wait, pausing };
-        let limit = self.state.lock().blocked(Moment::new(now));
+        let cold = self.cold_rate(now).is_some();
+        let limit = self.state.lock().blocked(cold, Moment::new(now));
         let pause = self.facts.hindrance().and_then(|known| known.wait);
         let limit = limit.map(|wait| block(wait, false));
         limit.max(pause.map(|wait| block(wait, true)))
@@ -338,8 +368,9 @@
         if !fits {
             return None;
         }
+        let cold = self.cold_rate(at.now).is_some();
         let state = self.state.lock();
-        if !state.allows(requirements.limited, at) || !state.is_listed(at.instant) {
+        if !state.allows(requirements.limited, cold, at) || !state.is_listed(at.instant) {
             return None;
         }
         let work = f64::from(state.running) + state.unread as f64 / UNREAD_TOKENS_PER_REQUEST;
--- a/crates/gateway/src/versions/admission.rs
+++ b/crates/gateway/src/versions/admission.rs
@@ -4,6 +4,7 @@
 use indexmap::IndexSet;
 
 use super::{Held, Versions, resumable_services};
+use crate::cold;
 use crate::gateway::Gateway;
 use crate::model::Upstream;
 use crate::upstreams::Servers;
@@ -33,6 +34,7 @@
 /// that is in use is taken at once, and so is one of a service that has no other upstream: requests don't wait
 /// for the store.
 pub fn put(gateway: &Gateway, entry: Upstream, copied: bool) -> bool {
+    cold::receive_entry(gateway, &entry, copied);
     let mut servers = gateway.servers.lock();
     if !is_new_version(gateway, &servers, &entry) {
         gateway.versions.forget(&entry.id);
--- a/crates/gateway/tests/suite/site.rs
+++ b/crates/gateway/tests/suite/site.rs
@@ -139,6 +139,7 @@
         name: "plain".parse().expect("a service"),
         connections: 10,
         engine: None,
+        warmup: None,
     };
     let services: IndexMap<ServiceId, Service> =
         [(service.name.clone(), service)].into_iter().collect();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,8 +7,8 @@
 //! [`witness`] (allocations recorded by peers), [`journal`] (exchanges that a restored table may have lost)
 //! and [`bills`] (deduplication). Request handling is in
 //! [`queue`], [`limit`], [`placement`], [`retry`] and [`quarantine`]. The gateway uses [`escrow`] and
-//! [`homes`] for token accounting, and [`affinity`], [`lifetime`], [`window`] and [`link`] for request
-//! handling.
+//! [`homes`] for token accounting, and [`affinity`], [`lifetime`], [`window`], [`link`] and
+//! [`warmup`] for request handling.
 
 pub mod account;
 pub mod affinity;
@@ -29,5 +29,6 @@
 pub mod retry;
 pub mod sizing;
 pub mod stream_times;
+pub mod warmup;
 pub mod window;
 pub mod witness;
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -26,6 +26,17 @@
     /// The lowest rate that is kept to. Without any request, the end of a limit would never be known.
     const MIN_PER_SECOND: f64 = 0.2;
 
+    /// Creates a rate; `None` unless it is a positive number.
+    pub fn new(per_second: f64) -> Option<Self> {
+        let positive = per_second.is_finite() && per_second > 0.0;
+        positive.then(|| Self(per_second.max(Self::MIN_PER_SECOND)))
+    }
+
+    /// Returns the smaller one of two rates.
+    pub fn min(self, other: Self) -> Self {
+        Self(self.0.min(other.0))
+    }
+
     /// Returns the rate in requests per second.
     pub fn per_second(self) -> f64 {
         self.0
@@ -134,6 +145,14 @@
         }
     }
 
+    /// Creates a bucket that can grant nothing yet.
+    pub(crate) fn empty(now: Duration) -> Self {
+        Self {
+            level: 0.0,
+            ..Self::open(now)
+        }
+    }
+
     /// Grants a claim.
     ///
     /// # Errors
@@ -141,11 +160,22 @@
     /// [`Denial`] if the limit is used up or the claim has to yield.
     pub fn grant(&mut self, claim: Claim, rate: RequestRate, now: Duration) -> Result<(), Denial> {
         let rate = rate.per_second();
-        self.level = self.level_at(rate, BURST + rate * BURST_TIME, now);
+        self.grant_within(claim, rate, BURST + rate * BURST_TIME, now)
+    }
+
+    /// Grants a claim at `rate` requests per second, with at most `most` requests at once.
+    pub(crate) fn grant_within(
+        &mut self,
+        claim: Claim,
+        rate: f64,
+        most: f64,
+        now: Duration,
+    ) -> Result<(), Denial> {
+        self.level = self.level_at(rate, most, now);
         self.at = now;
         self.forget(now);
         let needed = if self.must_yield(claim) {
-            1.0 + RESERVED
+            (1.0 + RESERVED).min(most)
         } else {
             1.0
         };
@@ -194,6 +224,11 @@
         self.level += 1.0;
     }
 
+    /// Takes back a grant in a bucket that grants at most `most` requests at once.
+    pub(crate) fn put_back_within(&mut self, most: f64) {
+        self.level = (self.level + 1.0).min(most);
+    }
+
     /// Returns when the bucket was last used.
     pub fn last_use(&self) -> Duration {
         self.at
