policy: tests of the bound on requests to cold upstreams

Cause: three routers granted at once when lists differed and routers were silent together: 30 of 29 in one second. Change: only the router that is first by its own list grants at the rate; the next two grant single requests.

--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -85,6 +85,8 @@
     stated: Option<RequestRate>,
     /// The rate that it tolerates, if it is cold.
     cold: Option<RequestRate>,
+    /// The place of this router in its ranking of the upstream's homes.
+    rank: Option<usize>,
 }
 
 /// An answer that was given, with the rate of a cold upstream by which it was decided.
@@ -120,11 +122,13 @@
         limits: Limits,
         now: Duration,
     ) -> Result<(), Denial> {
-        let Limits { stated, cold } = limits;
+        let Limits { stated, cold, rank } = limits;
         let upstream = key.0.clone();
         if let Some(rate) = cold {
             let rate = stated.map_or(rate, |stated| stated.min(rate));
-            self.with_cold(&upstream, now, |grants| grants.grant(claim, rate, now))?;
+            self.with_cold(&upstream, now, |grants| {
+                grants.grant(claim, rate, rank, now)
+            })?;
         }
         let granted = stated.map_or(Ok(()), |rate| self.grant_stated(key, claim, rate, now));
         if let (Err(_), Some(rate)) = (&granted, cold) {
@@ -205,6 +209,7 @@
     let limits = Limits {
         stated: server.stated_limit(gateway.now()),
         cold: server.cold_rate(gateway.now()),
+        rank: gateway.peers.lock().own_rank(place(&key.0)),
     };
     let permit = |granter| Permit {
         granter,
@@ -253,7 +258,7 @@
             }
         }
     }
-    take_share(gateway, key, rate, limits)?;
+    take_share(gateway, key, rate, (limits, claim))?;
     Ok(permit(Granter::Share))
 }
 
@@ -262,21 +267,11 @@
     gateway: &Gateway,
     key: BucketKey,
     rate: RequestRate,
-    limits: Limits,
+    (limits, claim): (Limits, Claim),
 ) -> Result<(), Denial> {
     let (routers, now) = (gateway.routers(), gateway.now());
-    if let Some(cold) = limits.cold {
-        let rank = gateway.peers.lock().own_rank(place(&key.0));
-        let permits = &gateway.permits;
-        if !permits.with_cold(&key.0, now, |grants| grants.take_share(cold, rank, now)) {
-            return Err(Denial {
-                wait: SILENT_TTL,
-                empty: true,
-            });
-        }
-        if limits.stated.is_none() {
-            return Ok(());
-        }
+    if limits.cold.is_some() {
+        return gateway.permits.grant(key, claim, limits, now);
     }
     if gateway.permits.take_share(key, rate, routers, now) {
         return Ok(());
@@ -351,6 +346,7 @@
 /// Returns the limits by which this router answers a question.
 fn known_limits(gateway: &Gateway, question: &Question) -> Limits {
     let now = gateway.now();
+    let rank = gateway.peers.lock().own_rank(place(&question.upstream));
     let servers = gateway.servers.lock();
     let server = servers.get(&question.upstream);
     let stated = server.and_then(|server| server.stated_limit(now));
@@ -365,6 +361,7 @@
     Limits {
         stated: stated.or(named),
         cold,
+        rank,
     }
 }
 
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -2,8 +2,8 @@
 //!
 //! The bound is the platform's: in any one-second window a cold upstream receives at most
 //! [`OVERRUN`] x its rate + [`TOLERANCE`] requests from all routers together. The upstream's home grants each
-//! request. Two routers may grant at the same time, when they disagree on the home or when the first home does not
-//! answer some of the others, so each of them grants less than half of the bound. See
+//! request. Two routers may each be the first home by their own lists, so each of them grants less than half of the
+//! bound. Other routers grant single requests while no first home answers. See
 //! [docs/design/cold-upstreams.md](../../../docs/design/cold-upstreams.md).
 
 use std::time::Duration;
@@ -16,12 +16,16 @@
 /// The number of requests that it may receive in one second beyond that.
 const TOLERANCE: f64 = 5.0;
 
-/// The number of routers that may grant requests at the same time.
-const HOMES: f64 = 2.0;
+/// The number of routers that may each be the first home by their own lists at the same time.
+const FIRST_HOMES: f64 = 2.0;
 
-/// The number of routers that may send a share of requests while no home answers them. A share below one request
-/// per second can't be divided further, so only the routers that are ranked next after the homes have one.
-pub const SHARERS: usize = 3;
+/// The number of other routers that may grant single requests at the same time: the second homes and the third
+/// routers by two lists that differ in one router are three.
+const SINGLES: f64 = 3.0;
+
+/// The place in the ranking of homes up to which a router grants single requests. A router's equal share of the rate
+/// is below one request in most fleets and can't be divided further, so only these have one.
+pub const LAST_RANK: usize = 2;
 
 /// The time after which a permit for a cold upstream is no longer used.
 pub const PERMIT_TTL: Duration = Duration::from_millis(200);
@@ -127,16 +131,16 @@
     }
 }
 
-/// Returns the largest number of requests that one router grants in [`WINDOW`].
+/// Returns the largest number of requests that a first home grants in [`WINDOW`].
 fn allowance(rate: RequestRate) -> f64 {
-    (rate.per_second() * OVERRUN + TOLERANCE - SHARERS as f64) / HOMES
+    (rate.per_second() * OVERRUN + TOLERANCE - SINGLES) / FIRST_HOMES
 }
 
 fn burst(rate: RequestRate) -> f64 {
-    (allowance(rate) / 2.0).clamp(1.0, MAX_BURST)
+    (allowance(rate) / 4.0).clamp(1.0, MAX_BURST)
 }
 
-/// Returns the requests per second that one router grants for a cold upstream with a rate.
+/// Returns the requests per second that a first home grants for a cold upstream with a rate.
 pub fn grant_rate(rate: RequestRate) -> f64 {
     let most = (allowance(rate) - burst(rate)) / WINDOW.as_secs_f64();
     most.min(rate.per_second())
@@ -146,51 +150,54 @@
 #[derive(Clone, Debug)]
 pub struct Grants {
     bucket: Bucket,
-    /// When the router last used its share.
-    shared: Option<Duration>,
+    /// When the router last granted a single request, or could have.
+    single: Duration,
 }
 
 impl Grants {
-    /// Creates grants that allow nothing at once: another router may have granted requests just before.
+    /// Creates grants that allow nothing at once: this router may have granted requests before a restart, and
+    /// another one before a change of homes.
     pub fn open(now: Duration) -> Self {
         Self {
             bucket: Bucket::empty(now),
-            shared: None,
+            single: now,
         }
     }
 
-    /// Grants a claim, as the upstream's home.
+    /// Grants a claim. `rank` is the place of this router in its own ranking of the upstream's homes, the first one
+    /// being 0; `None` if it is far behind.
     ///
     /// # Errors
     ///
     /// [`Denial`] if the upstream can take no more or the claim has to yield.
-    pub fn grant(&mut self, claim: Claim, rate: RequestRate, now: Duration) -> Result<(), Denial> {
-        self.bucket
-            .grant_within(claim, grant_rate(rate), burst(rate), now)
-    }
-
-    /// Takes one request from the share of a router that no home answers. `rank` is its place in the ranking of
-    /// homes, the first home being 0; returns whether the request was allowed.
-    pub fn take_share(&mut self, rate: RequestRate, rank: Option<usize>, now: Duration) -> bool {
-        let share = Duration::from_secs_f64(SHARERS as f64 / rate.per_second());
-        let interval = share.max(WINDOW);
-        let first = HOMES as usize;
-        let sharer = rank.is_some_and(|rank| (first..first + SHARERS).contains(&rank));
-        let due = |at: Duration| now.saturating_sub(at) >= interval;
-        let allowed = sharer && self.shared.is_none_or(due);
-        if allowed {
-            self.shared = Some(now);
+    pub fn grant(
+        &mut self,
+        claim: Claim,
+        rate: RequestRate,
+        rank: Option<usize>,
+        now: Duration,
+    ) -> Result<(), Denial> {
+        if rank == Some(0) {
+            let (per_second, most) = (grant_rate(rate), burst(rate));
+            return self.bucket.grant_within(claim, per_second, most, now);
+        }
+        let share = Duration::from_secs_f64(SINGLES / rate.per_second());
+        let wait = (self.single + share.max(WINDOW)).saturating_sub(now);
+        if !wait.is_zero() || rank.is_none_or(|rank| rank > LAST_RANK) {
+            let wait = wait.max(WINDOW / 2);
+            return Err(Denial { wait, empty: true });
         }
-        allowed
+        self.single = now;
+        Ok(())
     }
 
-    /// Takes back a grant whose request was not sent.
+    /// Takes back a grant whose request was not sent. A single one is not granted again before its time.
     pub fn put_back(&mut self, rate: RequestRate) {
         self.bucket.put_back_within(burst(rate));
     }
 
     /// Returns when the grants were last used.
     pub fn last_use(&self) -> Duration {
-        self.bucket.last_use().max(self.shared.unwrap_or_default())
+        self.bucket.last_use().max(self.single)
     }
 }
--- a/crates/policy/tests/suite/main.rs
+++ b/crates/policy/tests/suite/main.rs
@@ -18,5 +18,6 @@
 mod stream_times;
 mod term;
 mod waiting;
+mod warmup;
 mod window;
 mod witness;
