gateway: tests of cold upstreams

Cause: 12 findings about cold upstreams with long ids did not fit into a datagram (1,774 bytes). Change: at most 8 a datagram; tests of entries, findings, permits, decoding, and two with real processes.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -29,6 +29,9 @@
 /// Maximum number of findings in one datagram.
 const MAX_FINDINGS: usize = 12;
 
+/// Maximum number of cold upstreams in one datagram: 12 with ids of 47 characters were 1,774 bytes.
+const MAX_COLD: usize = 8;
+
 /// Maximum number of findings of each kind that one exchange sends.
 const MAX_EXCHANGED: usize = 2 * MAX_FINDINGS;
 
@@ -198,7 +201,7 @@
 }
 
 fn split_cold(cold: &[ColdFinding]) -> impl Iterator<Item = Findings> {
-    cold.chunks(MAX_FINDINGS).map(|cold| Findings {
+    cold.chunks(MAX_COLD).map(|cold| Findings {
         cold: cold.to_vec(),
         ..Findings::default()
     })
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -374,6 +374,6 @@
 }
 
 /// Returns the hash that selects the homes of an upstream.
-pub(crate) fn place(upstream: &UpstreamId) -> u64 {
+pub fn place(upstream: &UpstreamId) -> u64 {
     hash::digest64(upstream.as_str().as_bytes())
 }
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod catalog;
+mod cold;
 mod crowd;
 mod cut_off;
 mod drain;
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod gateway_away;
 mod gateway_changes;
 mod gateway_charges;
+mod gateway_cold;
 mod gateway_crashes;
 mod gateway_endings;
 mod gateway_endless;
