--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -44,6 +44,12 @@
     pub remaining: Duration,
 }
 
+impl ColdFinding {
+    fn is_numbered(&self) -> bool {
+        self.started.is_some() && self.sequence.is_some()
+    }
+}
+
 /// The upstreams that were cold at the last check.
 #[derive(Debug, Default)]
 pub struct ColdUpstreams(Mutex<IndexSet<UpstreamId>>);
@@ -85,7 +91,7 @@
         remaining: finding.remaining,
     };
     let news = warmth.record(report, now);
-    if news && finding.sequence.is_some() && is_home(gateway, &finding.upstream) {
+    if news && report.is_numbered() && is_home(gateway, &finding.upstream) {
         gateway.outbox.push_cold(&finding.upstream);
     }
     if news {
@@ -129,7 +135,7 @@
     let servers = gateway.servers.lock();
     let finding = |server: &Arc<Server>| {
         let report = server.warmth.report(now)?;
-        report.sequence?;
+        let report = report.is_numbered().then_some(report)?;
         Some(ColdFinding {
             upstream: server.entry.id.clone(),
             started: report.started,
@@ -145,7 +151,7 @@
     let mut peers = gateway.peers.lock();
     let homes = peers.homes_of(permits::place(&finding.upstream));
     match homes {
-        Some(homes) if finding.sequence.is_some() && !homes.contains(&Home::Own) => {
+        Some(homes) if finding.is_numbered() && !homes.contains(&Home::Own) => {
             let peers = homes.into_iter().filter_map(|home| match home {
                 Home::Own => None,
                 Home::Peer(peer) => Some(peer),
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -9,7 +9,7 @@
 
 use super::Job;
 use crate::origins::Continuation;
-use crate::permits::{self, Permit};
+use crate::permits;
 use crate::upstreams::{Block, Requirements, Server, Slot};
 
 /// The longest wait for an upstream to become available before the first attempt.
@@ -153,14 +153,9 @@
         }
     }
 
-    /// Returns whether a request must not be sent to an upstream that is cold, since it was placed before that was
-    /// known or its permit is too old.
+    /// Returns whether a request must not be sent since its upstream is cold.
     pub(super) fn lacks_permit(&self, slot: &Slot) -> bool {
-        let cold = || slot.server().cold_rate(self.gateway.now()).is_some();
-        let lacking = match slot.permit().filter(Permit::is_cold) {
-            Some(permit) => permit.is_overdue(),
-            None => cold(),
-        };
+        let lacking = slot.lacks_permit(self.gateway.now());
         if lacking {
             let upstream = slot.server().entry.id.as_str();
             tracing::info!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The request pipeline of fescuedrift on a platform.
 //!
 //! A gateway accepts any request whose host and path match a route, and forwards it to an upstream
-//! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`fleet`],
+//! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`cold`], [`fleet`],
 //! [`gossip`], [`origins`], [`permits`], [`reload`] and [`usage`] are the controllers; [`gateway`] holds the state that
 //! they share, and [`adapter`] the traits that connect a platform. The design is in
 //! [docs/design/platform.md](../../../docs/design/platform.md).
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -2,8 +2,9 @@
 //!
 //! A request to an upstream with a limit needs a permit of the upstream's home, a router that
 //! rendezvous hashing selects, so that the limit is used in full wherever the callers are. A home that
-//! does not answer is skipped for a second; without any, a router keeps to its equal share. See
-//! [docs/design/service.md](../../../docs/design/service.md).
+//! does not answer is skipped for a second; without any, a router keeps to its equal share. Cold upstreams have grants
+//! of their own. See [docs/design/service.md](../../../docs/design/service.md) and
+//! [docs/design/cold-upstreams.md](../../../docs/design/cold-upstreams.md).
 
 mod refund;
 
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -56,6 +56,15 @@
         self.permit
     }
 
+    /// Returns whether the request must not be sent since the upstream is cold: it was placed before that was known,
+    /// or its permit is too old.
+    pub fn lacks_permit(&self, now: Duration) -> bool {
+        match self.permit.filter(Permit::is_cold) {
+            Some(permit) => permit.is_overdue(),
+            None => self.server.cold_rate(now).is_some(),
+        }
+    }
+
     /// Gives the slot up before the request was sent.
     pub fn cancel(self) {
         self.server.state.lock().breaker.abandon();
--- a/crates/gateway/tests/suite/cold.rs
+++ b/crates/gateway/tests/suite/cold.rs
@@ -12,7 +12,7 @@
 use fescue_gateway::model::Upstream;
 use fescue_gateway::peers::{Home, Peer};
 use fescue_gateway::permits;
-use fescue_gateway::upstreams::{Requirements, Server};
+use fescue_gateway::upstreams::{Requirements, Server, Slot};
 use fescue_gateway::versions;
 use fescue_policy::rate_limit::{RequestRate, Statement};
 use fescue_policy::warmup::{PERMIT_TTL, Warmup};
@@ -366,7 +366,7 @@
     }
 }
 
-fn acquire(gateway: &Gateway, limited: bool) -> bool {
+fn place(gateway: &Gateway, limited: bool) -> Option<Slot> {
     let service: ServiceId = "plain".parse().expect("a service");
     let requirements = Requirements {
         service: &service,
@@ -379,9 +379,11 @@
         tie_breaker: 1,
     };
     let servers = gateway.servers.lock();
-    servers
-        .acquire(gateway.now(), &requirements, "here")
-        .is_some()
+    servers.acquire(gateway.now(), &requirements, "here")
+}
+
+fn acquire(gateway: &Gateway, limited: bool) -> bool {
+    place(gateway, limited).is_some()
 }
 
 /// Guards against requests that are placed at a cold upstream which can take no more, or without a permit.
@@ -404,3 +406,21 @@
     advance(WARMUP_TIME).await;
     assert!(acquire(&gateway, false));
 }
+
+/// Guards against requests that are sent to a cold upstream without a valid permit: those that were placed before it was
+/// known to be cold, and those whose connection took long.
+#[tokio::test(start_paused = true)]
+async fn slot_needs_a_valid_permit_when_the_request_is_sent() {
+    let gateway = router(true);
+    put(&gateway, entry(1, 1, Duration::ZERO));
+    let mut slot = place(&gateway, true).expect("a slot");
+    assert!(!slot.lacks_permit(gateway.now()));
+    put(&gateway, entry(2, 1, 60 * SECOND));
+    assert!(slot.lacks_permit(gateway.now()), "placed before");
+    assert!(take(&gateway).await.is_none(), "nothing at once");
+    advance(SECOND).await;
+    slot.mark_permitted(take(&gateway).await.expect("a permit"));
+    assert!(!slot.lacks_permit(gateway.now()));
+    advance(PERMIT_TTL).await;
+    assert!(slot.lacks_permit(gateway.now()), "too old");
+}
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -60,6 +60,14 @@
     pub remaining: Duration,
 }
 
+impl Report {
+    /// Returns whether the report can be told from others of its upstream. The number of an entry rises only from
+    /// one start to the next, so it needs a start time.
+    pub fn is_numbered(&self) -> bool {
+        self.started.is_some() && self.sequence.is_some()
+    }
+}
+
 /// How long one upstream is cold, by all reports of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cold {
@@ -94,7 +102,7 @@
     fn is_known(&self, report: &Report) -> bool {
         match (report.started, self.started) {
             (Some(new), Some(known)) if new < known => true,
-            (new, known) if new == known => {
+            (new, known) if new == known && report.is_numbered() => {
                 let sequences = report.sequence.zip(self.sequence);
                 sequences.is_some_and(|(new, known)| new <= known)
             }
--- a/crates/policy/tests/suite/warmup.rs
+++ b/crates/policy/tests/suite/warmup.rs
@@ -93,6 +93,19 @@
     assert!(!cold.record(report(1, 5, 9 * SECOND), NOW), "still known");
 }
 
+/// Without a start time, a lower number may be that of a successor. Guards against its report being missed.
+#[test]
+fn record_trusts_no_number_without_a_start_time() {
+    let numbered = |sequence, remaining| Report {
+        started: None,
+        ..report(1, sequence, remaining)
+    };
+    let mut cold = Cold::default();
+    cold.record(numbered(500, Duration::ZERO), NOW);
+    assert!(!numbered(1, SECOND).is_numbered());
+    assert!(cold.record(numbered(1, SECOND), NOW));
+}
+
 #[test]
 fn mark_and_report_are_apart() {
     let mut cold = Cold::default();
