cold upstreams: pages and links that rustdoc accepts

Measured: cargo doc of policy, gateway and platform passes; suites: policy 137, gateway 155, platform 56, router 19 of the filters gateway_cold, limits, crashes, entries, grace, pauses and leaving, all passed; clippy clean.

--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -1,7 +1,7 @@
 //! Upstreams that are cold: they started a short time ago and crash at their usual rate of requests.
 //!
 //! The bound is the platform's: in any one-second window a cold upstream receives at most
-//! [`OVERRUN`] x its rate + [`TOLERANCE`] requests from all routers together. The upstream's home grants each
+//! `OVERRUN` x its rate + `TOLERANCE` requests from all routers together. The upstream's home grants each
 //! request. Two routers may each be the first home by their own lists, so each of them grants less than half of the
 //! bound. Other routers grant single requests while no first home answers. See
 //! [docs/design/cold-upstreams.md](../../../docs/design/cold-upstreams.md).
