--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::budget::Budget as TokenBudget;
 use crate::buffers::Buffers;
 use crate::catalog::Catalog;
+use crate::cold::ColdUpstreams;
 use crate::crowd::Crowd;
 use crate::datagrams::Courier;
 use crate::drain::Drain;
@@ -90,6 +91,8 @@
     pub permits: Permits,
     /// The schedulers of the engines that prompts are placed on.
     pub schedulers: Schedulers,
+    /// The upstreams that are cold.
+    pub cold: ColdUpstreams,
     /// The upstream versions that began streams.
     pub origins: Origins,
     /// The versions that services have had.
@@ -161,6 +164,7 @@
             peers,
             permits: Permits::default(),
             schedulers: Schedulers::default(),
+            cold: ColdUpstreams::default(),
             origins: Origins::default(),
             versions: Versions::default(),
             link,
@@ -216,7 +220,11 @@
         self.time_limits.lock().record(Instant::now(), limits);
         self.budget.set_prepaid(catalog.prepaid());
         self.metrics.teams.set_teams(catalog.team_names());
-        *current = Some(Arc::new(catalog));
+        let catalog = Arc::new(catalog);
+        *current = Some(Arc::clone(&catalog));
+        drop(current);
+        let services = &catalog.manifest().services;
+        self.servers.lock().set_warmups(services);
         true
     }
 
@@ -299,7 +307,7 @@
             rate,
             at: self.now(),
         };
-        let before = server.limit(self.now());
+        let before = server.stated_limit(self.now());
         if !server.record_statement(statement) {
             return;
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,13 +12,14 @@
 use fescue_core::UpstreamId;
 use fescue_policy::quarantine;
 use fescue_policy::rate_limit::{RequestRate, STATEMENT_TTL, Statement};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::sync::Notify;
 
+use crate::cold::{self, ColdFinding};
 use crate::evacuations::{self, EvacuationFinding};
 use crate::gateway::Gateway;
 use crate::upstreams::Server;
@@ -29,6 +30,9 @@
 /// Maximum number of findings in one datagram.
 const MAX_FINDINGS: usize = 12;
 
+/// Maximum number of cold upstreams in one datagram: 12 with ids of 47 characters were 1,774 bytes.
+const MAX_COLD: usize = 8;
+
 /// Maximum number of findings of each kind that one exchange sends.
 const MAX_EXCHANGED: usize = 2 * MAX_FINDINGS;
 
@@ -57,6 +61,9 @@
     /// The data centres that are evacuated, or were.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub evacuations: Vec<EvacuationFinding>,
+    /// The upstreams that are cold.
+    #[serde(default)]
+    pub cold: Vec<ColdFinding>,
 }
 
 /// An upstream process that has ended.
@@ -91,6 +98,7 @@
     store: Mutex<IndexSet<u64>>,
     limits: Mutex<IndexSet<UpstreamId>>,
     ended: Mutex<IndexSet<UpstreamId>>,
+    cold: Mutex<IndexSet<UpstreamId>>,
     wake: Notify,
 }
 
@@ -129,6 +137,14 @@
         self.wake.notify_one();
     }
 
+    /// Adds an upstream that is cold, which is to be told to other routers.
+    pub fn push_cold(&self, upstream: &UpstreamId) {
+        let mut cold = self.cold.lock();
+        cold.insert(upstream.clone());
+        cold.truncate(MAX_WAITING);
+        self.wake.notify_one();
+    }
+
     /// Waits until there is something to send to the other routers.
     pub async fn changed(&self) {
         self.wake.notified().await;
@@ -184,9 +200,34 @@
     for part in split_evacuations(&gateway.evacuations.take_changed()) {
         sent.extend(told.iter().map(|peer| (*peer, part.clone())));
     }
+    sent.extend(new_cold_findings(gateway));
     sent
 }
 
+fn new_cold_findings(gateway: &Gateway) -> impl Iterator<Item = (SocketAddr, Findings)> {
+    let upstreams: Vec<_> = gateway.outbox.cold.lock().drain(..).collect();
+    let mut told: IndexMap<SocketAddr, Vec<ColdFinding>> = IndexMap::new();
+    for upstream in upstreams {
+        if let Some(finding) = cold::finding(gateway, &upstream) {
+            for peer in cold::listeners(gateway, &finding) {
+                told.entry(peer).or_default().push(finding.clone());
+            }
+        }
+    }
+    let parts = |(peer, findings): (SocketAddr, Vec<ColdFinding>)| {
+        let parts: Vec<_> = split_cold(&findings).collect();
+        parts.into_iter().map(move |part| (peer, part))
+    };
+    told.into_iter().flat_map(parts)
+}
+
+fn split_cold(cold: &[ColdFinding]) -> impl Iterator<Item = Findings> {
+    cold.chunks(MAX_COLD).map(|cold| Findings {
+        cold: cold.to_vec(),
+        ..Findings::default()
+    })
+}
+
 /// Returns the datagrams that tell another router, chosen at random, what this one knows: the evidence of
 /// crashes that changed last, and limits of upstreams chosen at random.
 pub fn all_findings(gateway: &Gateway) -> Vec<(SocketAddr, Findings)> {
@@ -204,8 +245,12 @@
     limits.truncate(MAX_EXCHANGED);
     ended.shuffle(&mut rand::rng());
     ended.truncate(MAX_EXCHANGED);
+    let mut cold = cold::numbered_findings(gateway);
+    cold.shuffle(&mut rand::rng());
+    cold.truncate(MAX_EXCHANGED);
     let mut findings = split(&crashes, &limits, &ended);
     findings.extend(split_evacuations(&gateway.evacuations.findings()));
+    findings.extend(split_cold(&cold));
     let peers = gateway.peers.lock().addresses();
     let Some(peer) = peers.choose(&mut rand::rng()) else {
         return Vec::new();
@@ -272,6 +317,9 @@
     for finding in &findings.ended {
         receive_ended(gateway, finding);
     }
+    for finding in &findings.cold {
+        cold::receive_finding(gateway, finding);
+    }
     for finding in &findings.limits {
         receive_limit(gateway, finding);
     }
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -68,7 +68,8 @@
         let claim = permits::claim(self.team.as_ref(), self.rank);
         let mut denied = Vec::new();
         let mut shortest: Option<Duration> = None;
-        let scheduled = self.is_scheduled();
+        // A request that waits for limits or pauses has asked before.
+        let scheduled = self.limited.is_none() && self.is_scheduled();
         let mut grant = None;
         if scheduled {
             match self.schedule().await {
@@ -87,8 +88,8 @@
                 return Some(slot);
             };
             match permits::take(&self.gateway, &server, rate, claim).await {
-                Ok(()) => {
-                    slot.mark_permitted();
+                Ok(permit) => {
+                    slot.mark_permitted(permit);
                     self.log_placed(&slot, Some(rate), scheduled);
                     return Some(slot);
                 }
@@ -171,11 +172,32 @@
         );
     }
 
-    /// Gives back the permit of a request that the upstream did not get, or rejected without naming a
-    /// limit.
+    /// Gives back the permit of a request that the upstream did not get.
     pub(super) fn return_permit(&self, slot: &Slot) {
-        if slot.is_permitted() {
-            permits::put_back(&self.gateway, slot.server());
+        if let Some(permit) = slot.permit() {
+            permits::put_back(&self.gateway, slot.server(), permit);
         }
     }
+
+    /// Gives back the permit of a request that the upstream rejected without naming a limit. A cold upstream has
+    /// received it, unless it was `misdirected`.
+    pub(super) fn return_declined(&self, slot: &Slot, misdirected: bool) {
+        if misdirected || slot.permit().is_some_and(|permit| !permit.is_cold()) {
+            self.return_permit(slot);
+        }
+    }
+
+    /// Returns whether a request must not be sent since its upstream is cold.
+    pub(super) fn lacks_permit(&self, slot: &Slot) -> bool {
+        let lacking = slot.lacks_permit(self.gateway.now());
+        if lacking {
+            let upstream = slot.server().entry.id.as_str();
+            tracing::info!(
+                request = self.call.id,
+                upstream,
+                "no valid permit for a cold upstream; not sent"
+            );
+        }
+        lacking
+    }
 }
--- a/crates/gateway/src/job/scheduled.rs
+++ b/crates/gateway/src/job/scheduled.rs
@@ -18,11 +18,12 @@
 
 impl Job {
     /// Returns whether homes place the request: a new prompt for a model engine that isn't suspected of
-    /// crashing upstreams.
+    /// crashing upstreams. One that an upstream may be running is placed without waiting for an answer.
     pub(super) fn is_scheduled(&self) -> bool {
         self.gateway.settings.scheduling
             && self.service.engine.is_some()
             && self.call.input.get() > 0
+            && self.sends == 0
             && self.continuation == Continuation::Fresh
             && self.gateway.standing(&self.prints) == Standing::Clear
     }
@@ -31,17 +32,8 @@
     ///
     /// # Errors
     ///
-    /// The time after which the request may come again if the engines are saturated. One that may have run
-    /// is placed nevertheless.
+    /// The time after which the request may come again if the engines are saturated.
     pub(super) async fn schedule(&self) -> Result<Option<Grant>, Duration> {
-        let decided = self.ask_homes().await;
-        match decided {
-            Err(_) if self.sends > 0 => Ok(None),
-            decided => decided,
-        }
-    }
-
-    async fn ask_homes(&self) -> Result<Option<Grant>, Duration> {
         let Some(shard) = self.choose_shard(None) else {
             return Ok(None);
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,9 +1,9 @@
 //! The request pipeline of fescuedrift on a platform.
 //!
 //! A gateway accepts any request whose host and path match a route, and forwards it to an upstream
-//! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`evacuations`], [`fleet`],
-//! [`gossip`], [`origins`], [`permits`], [`reload`], [`schedulers`] and [`usage`] are the controllers; [`gateway`] holds
-//! the state that
+//! of the route's service. [`pipeline`] processes requests; [`feeds`], [`budget`], [`cold`], [`evacuations`],
+//! [`fleet`], [`gossip`], [`origins`], [`permits`], [`reload`], [`schedulers`] and [`usage`] are the controllers;
+//! [`gateway`] holds the state that
 //! they share, and [`adapter`] the traits that connect a platform. The design is in
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod buffers;
 pub mod catalog;
+pub mod cold;
 pub mod crash_check;
 pub mod crowd;
 pub mod datagrams;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -112,6 +112,8 @@
     pub upstreams: Gauge,
     /// Number of data centres that are evacuated.
     pub evacuated_data_centres: Gauge,
+    /// Number of upstreams that are cold.
+    pub cold_upstreams: Gauge,
 }
 
 impl Default for Metrics {
@@ -138,6 +140,7 @@
             manifest_version: Gauge::default(),
             upstreams: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
+            cold_upstreams: Gauge::default(),
         };
         metrics.register()
     }
@@ -185,6 +188,8 @@
         let help = "Data centres that are evacuated.";
         let gauge = self.evacuated_data_centres.clone();
         r.register("evacuated_data_centres", help, gauge);
+        let help = "Upstreams that are cold.";
+        r.register("cold_upstreams", help, self.cold_upstreams.clone());
         self
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -211,6 +211,12 @@
         self.ranks.clear();
     }
 
+    /// Returns whether a router takes no new connections because it is crowded, by its latest heartbeat.
+    pub fn is_withdrawn(&self, address: SocketAddr) -> bool {
+        let mut listed = self.list.iter();
+        listed.any(|peer| peer.address == address && peer.withdrawn)
+    }
+
     /// Returns the addresses of all listed routers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.list.iter().map(|peer| peer.address).collect()
@@ -348,6 +354,13 @@
         Some(homes)
     }
 
+    /// Returns this router's place among the routers that a key selects, the best one being 0; `None` if it is none of
+    /// them or the list is incomplete.
+    pub fn own_rank(&mut self, key: u64) -> Option<usize> {
+        let homes = self.complete.then(|| self.rank_key(key))?;
+        homes.iter().position(|home| *home == Home::Own)
+    }
+
     /// Returns the addresses of up to `most` other routers that a key selects, best first. All routers that
     /// know the same peers select the same ones.
     pub fn select(&self, key: u64, most: usize) -> Vec<SocketAddr> {
--- a/crates/gateway/src/schedulers.rs
+++ b/crates/gateway/src/schedulers.rs
@@ -48,19 +48,23 @@
     answers: Mutex<IndexMap<u64, Placed>>,
     /// The numbers of this router's questions and placements, with the sender for an answer that is awaited.
     open: Mutex<HashMap<u32, Option<oneshot::Sender<Verdict>>>>,
-    silent: Mutex<HashMap<SocketAddr, Instant>>,
+    skipped: Mutex<HashMap<(SocketAddr, Option<u64>), Instant>>,
 }
 
 impl Schedulers {
-    fn is_silent(&self, home: SocketAddr) -> bool {
-        let mut silent = self.silent.lock();
-        silent.retain(|_, until| *until > Instant::now());
-        silent.contains_key(&home)
+    /// Returns whether a home is skipped for a shard.
+    fn is_skipped(&self, home: SocketAddr, key: u64) -> bool {
+        let mut skipped = self.skipped.lock();
+        skipped.retain(|_, until| *until > Instant::now());
+        [None, Some(key)]
+            .into_iter()
+            .any(|shard| skipped.contains_key(&(home, shard)))
     }
 
-    fn mark_silent(&self, home: SocketAddr) {
+    /// Skips a home for some time: for all shards if it didn't answer, or for one that it doesn't schedule.
+    fn skip(&self, home: SocketAddr, shard: Option<u64>) {
         let until = Instant::now() + SILENT_TTL;
-        self.silent.lock().insert(home, until);
+        self.skipped.lock().insert((home, shard), until);
     }
 
     /// Passes the answer to a question on to `waiting` when it comes.
--- a/crates/gateway/src/schedulers/inquiry.rs
+++ b/crates/gateway/src/schedulers/inquiry.rs
@@ -130,12 +130,7 @@
 /// Asks the home of a shard for an engine. `target` is the target of the request's route.
 pub async fn ask(gateway: &Arc<Gateway>, place: Place, target: Duration) -> Outcome {
     let key = shard_key(&place.service, place.shard);
-    let homes = gateway.peers.lock().homes_of(key).unwrap_or_default();
-    let skipped = |home: &Home| match home {
-        Home::Own => false,
-        Home::Peer(peer) => gateway.schedulers.is_silent(*peer),
-    };
-    let Some(home) = homes.into_iter().find(|home| !skipped(home)) else {
+    let Some(home) = choose_home(gateway, key) else {
         return Outcome::Unavailable;
     };
     let ticket = Ticket::open(gateway, home, place.number);
@@ -155,7 +150,7 @@
         }
         Some(Verdict::Unavailable) => {
             if let Some(peer) = ticket.home() {
-                gateway.schedulers.mark_silent(peer);
+                gateway.schedulers.skip(peer, Some(key));
             }
             ticket.discard();
             Outcome::Unavailable
@@ -164,6 +159,24 @@
     }
 }
 
+/// Returns the home to ask: the first one that answers and isn't crowded, or else the first one that answers. A
+/// crowded router would hold up the prompts of all others.
+fn choose_home(gateway: &Gateway, key: u64) -> Option<Home> {
+    let mut peers = gateway.peers.lock();
+    let homes = peers.homes_of(key).unwrap_or_default();
+    let answers = |home: &Home| match home {
+        Home::Own => true,
+        Home::Peer(peer) => !gateway.schedulers.is_skipped(*peer, key),
+    };
+    let crowded = |home: &Home| match home {
+        Home::Own => gateway.crowd.is_withdrawn(),
+        Home::Peer(peer) => peers.is_withdrawn(*peer),
+    };
+    let homes: Vec<_> = homes.into_iter().filter(answers).collect();
+    let calm = homes.iter().find(|home| !crowded(home));
+    calm.or(homes.first()).copied()
+}
+
 /// Sends a question to another router, twice if need be, and waits for the answer.
 async fn ask_peer(
     gateway: &Gateway,
@@ -190,7 +203,7 @@
     }
     if wait >= RESEND_AFTER {
         tracing::info!(%peer, shard, "no answer to a question for an engine; router skipped");
-        gateway.schedulers.mark_silent(peer);
+        gateway.schedulers.skip(peer, None);
     }
     None
 }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -4,6 +4,7 @@
 mod facts;
 mod server;
 mod shards;
+mod warmth;
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
@@ -17,20 +18,23 @@
 
 use crate::model::Upstream;
 use crate::origins::Origin;
+use crate::permits::Permit;
 use crate::schedulers::Grant;
 
 use departed::Departed;
 pub use facts::{Facts, Hindrance, Withdrawal};
 pub use server::{BrokenRequest, Server};
 use server::{Moment, Rating};
+pub use warmth::Warmth;
+use warmth::Warmths;
 
 /// A request's share of an upstream's load, released when dropped.
 #[derive(Debug)]
 pub struct Slot {
     server: Arc<Server>,
     unread: u64,
-    permitted: bool,
     grant: Option<Grant>,
+    permit: Option<Permit>,
 }
 
 impl Slot {
@@ -46,7 +50,7 @@
         Self {
             server,
             unread,
-            permitted: false,
+            permit: None,
             grant: None,
         }
     }
@@ -81,14 +85,23 @@
         self.unread = 0;
     }
 
-    /// Records that the upstream's limit allows the request.
-    pub fn mark_permitted(&mut self) {
-        self.permitted = true;
+    /// Records the permit of the request, which the upstream's limit allows.
+    pub fn mark_permitted(&mut self, permit: Permit) {
+        self.permit = Some(permit);
     }
 
-    /// Returns whether a permit was taken for the request.
-    pub fn is_permitted(&self) -> bool {
-        self.permitted
+    /// Returns the permit that was taken for the request.
+    pub fn permit(&self) -> Option<Permit> {
+        self.permit
+    }
+
+    /// Returns whether the request must not be sent since the upstream is cold: it was placed before that was known,
+    /// or its permit is too old.
+    pub fn lacks_permit(&self, now: Duration) -> bool {
+        match self.permit.filter(Permit::is_cold) {
+            Some(permit) => permit.is_overdue(),
+            None => self.server.cold_rate(now).is_some(),
+        }
     }
 
     /// Gives the slot up before the request was sent.
@@ -144,6 +157,7 @@
     departed: Departed,
     /// The data centres whose upstreams get no requests.
     evacuated: IndexSet<DataCentreId>,
+    warmths: Warmths,
 }
 
 impl Servers {
@@ -151,6 +165,7 @@
     /// what its answers said of it unless it restarted.
     pub fn put(&mut self, entry: Upstream) {
         let mut server = Server::open(entry);
+        server.warmth = self.warmths.open(&server.entry);
         if let Some(facts) = self.departed.facts(&server.entry) {
             server.facts = facts;
         }
--- a/crates/gateway/src/upstreams/shards.rs
+++ b/crates/gateway/src/upstreams/shards.rs
@@ -34,6 +34,10 @@
         self.shard_memo.shard(self.member, shards)
     }
 
+    fn is_cold(&self, now: Duration) -> bool {
+        self.cold_rate(now).is_some()
+    }
+
     /// Returns the hash by which a home is told not to choose the upstream.
     pub fn short_hash(&self) -> u32 {
         short_hash(self.member)
@@ -104,11 +108,17 @@
                 && self.admits(server, None)
                 && server.rate(&requirements, at).is_some_and(|r| r.accepts)
         });
-        let member = |server: &Arc<Server>| Member {
+        let member = |server: &Server| Member {
             hash: server.member,
             slots: server.entry.slots,
             memory,
         };
+        let mut members: Vec<_> = members.collect();
+        // A cold upstream is idle, and would get more prompts than its limit allows.
+        if members.iter().any(|server| !server.is_cold(now)) {
+            members.retain(|server| !server.is_cold(now));
+        }
+        let members = members.into_iter();
         let members = members.map(|server| (member(server), server.entry.id.clone()));
         members.collect()
     }
--- a/crates/gateway/tests/suite/unsent.rs
+++ b/crates/gateway/tests/suite/unsent.rs
@@ -45,6 +45,7 @@
         prints: Prints::default(),
         attempt: Attempt::default(),
         limited: None,
+        saturated: None,
         secured: None,
         unplaced: false,
         stopping: false,
--- a/crates/policy/src/scheduling.rs
+++ b/crates/policy/src/scheduling.rs
@@ -66,6 +66,13 @@
     pub memory: u64,
 }
 
+impl Member {
+    /// Returns the memory that requests may take, in tokens. An engine that runs out of it crashes.
+    fn usable(&self) -> u64 {
+        self.memory - self.memory / SPARE_PART
+    }
+}
+
 /// Where a request is placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Placement {
@@ -82,6 +89,9 @@
     pub wait: Duration,
 }
 
+/// The part of an engine's memory that is kept free, as a divisor.
+const SPARE_PART: u64 = 20;
+
 /// The average number of engines above which a service gets twice as many shards.
 const MAX_SHARD_ENGINES: usize = 24;
 
@@ -148,6 +158,8 @@
     cost: Duration,
     /// Whether the engine has the prefix of the prompt.
     cached: bool,
+    /// Whether the memory for it is free.
+    fits: bool,
     /// Whether a slot and the memory for it are free.
     free: bool,
     /// The memory that is left, in tokens.
@@ -189,8 +201,11 @@
             self.claims.record_denial(work.claim(), now);
         }
         if yields || best.expected > work.deadline {
-            let wait = best.wait.saturating_sub(limit).max(MIN_RETRY);
-            return Err(Saturated { wait });
+            let excess = best.expected.saturating_sub(work.deadline);
+            let wait = best.wait.saturating_sub(limit).max(excess);
+            return Err(Saturated {
+                wait: wait.max(MIN_RETRY),
+            });
         }
         self.claims.record_grant(work.claim(), now);
         let (member, expected) = (best.member, best.expected);
@@ -260,21 +275,24 @@
                 expected,
                 cost: expected,
                 cached: false,
+                fits: true,
                 free: true,
-                room: member.memory,
+                room: member.usable(),
             };
         };
         let wait = engine.wait(member.slots, typical, now);
         let read = engine.read_time(work, typical);
         let expected = wait + read + engine.latency();
-        let room = member.memory.saturating_sub(engine.held());
+        let room = member.usable().saturating_sub(engine.held());
+        let fits = room >= work.bound();
         Offer {
             member: member.hash,
             wait,
             expected,
             cost: expected + read.mul_f64(STREAM_WEIGHT * engine.streams() as f64),
             cached: engine.has_prefix(work),
-            free: engine.running() < member.slots as usize && room >= work.bound(),
+            fits,
+            free: fits && engine.running() < member.slots as usize,
             room,
         }
     }
@@ -304,7 +322,8 @@
 }
 
 /// Chooses an engine: of those that are good enough, the cheapest one that has the prefix, or the first one in the
-/// order of the prefix; or else the cheapest one. Engines without a free slot or the memory come last.
+/// order of the prefix; or else the cheapest one. Engines without a free slot come after these, and if none has the
+/// memory, the one with most room gets it.
 fn choose(options: &[Offer], key: u64, target: Duration) -> Option<&Offer> {
     let good = |option: &&Offer| option.free && option.cost <= target / GOOD_PART;
     let score = |option: &&Offer| hash::score(key, option.member);
@@ -318,7 +337,8 @@
             free.min_by_key(cheap)
         })
         .or_else(|| {
-            let order = |option: &&Offer| (option.cost, Reverse(option.room));
-            options.iter().min_by_key(order)
+            let fitting = options.iter().filter(|option| option.fits);
+            fitting.min_by_key(cheap)
         })
+        .or_else(|| options.iter().max_by_key(|option| option.room))
 }
--- a/crates/policy/tests/suite/scheduling.rs
+++ b/crates/policy/tests/suite/scheduling.rs
@@ -131,15 +131,23 @@
         .place(&large(1), &members, ms(0))
         .expect("there is room");
     scheduler.record_begun(1, ms(10));
+    let smaller = Work {
+        input: 250_000,
+        ..large(2)
+    };
     let second = scheduler
-        .place(&large(2), &members, ms(20))
+        .place(&smaller, &members, ms(20))
         .expect("there is room");
     assert_ne!(first.member, second.member);
+    let third = scheduler
+        .place(&large(3), &members, ms(30))
+        .expect("it fits an empty engine");
+    assert_eq!(third.member, second.member, "it has more room");
     let oversized = Work {
         input: MEMORY,
-        ..large(3)
+        ..large(4)
     };
-    assert!(scheduler.place(&oversized, &members, ms(30)).is_err());
+    assert!(scheduler.place(&oversized, &members, ms(40)).is_err());
 }
 
 /// A request that can't begin before its deadline would wait for nothing.
--- a/crates/router/tests/suite/gateway_evacuations.rs
+++ b/crates/router/tests/suite/gateway_evacuations.rs
@@ -161,6 +161,7 @@
         store: proxy.address,
         ports: Ports::allocate().expect("ports"),
         crowding: false,
+        scheduling: false,
     };
     let cut_off = Gateway::spawn(&options).expect("a gateway");
     let gateway = site.ready("vm-1").await;
