--- a/crates/gateway/src/budget/effects.rs
+++ b/crates/gateway/src/budget/effects.rs
@@ -16,13 +16,18 @@
 #[derive(Debug)]
 pub(super) struct Waiter {
     sender: oneshot::Sender<Result<Reservation, Shortage>>,
+    pub arrived: Instant,
     /// When the request is no longer of use.
     pub deadline: Instant,
 }
 
 impl Waiter {
     pub fn new(sender: oneshot::Sender<Result<Reservation, Shortage>>, deadline: Instant) -> Self {
-        Self { sender, deadline }
+        Self {
+            sender,
+            arrived: Instant::now(),
+            deadline,
+        }
     }
 }
 
--- a/crates/gateway/tests/suite/mesh.rs
+++ b/crates/gateway/tests/suite/mesh.rs
@@ -229,6 +229,8 @@
     nodes: Mutex<HashMap<SocketAddr, Node>>,
     /// The pairs of routers between which no datagram arrives.
     cut: Mutex<HashSet<(SocketAddr, SocketAddr)>>,
+    /// How much later than usual datagrams reach an overloaded router.
+    lags: Mutex<HashMap<SocketAddr, Duration>>,
     pub counts: Mutex<Counts>,
 }
 
@@ -237,6 +239,10 @@
         self.nodes.lock().get(&address).cloned()
     }
 
+    fn trip(&self, to: SocketAddr) -> Duration {
+        TRIP + self.lags.lock().get(&to).copied().unwrap_or_default()
+    }
+
     fn connects(&self, from: SocketAddr, to: SocketAddr) -> bool {
         !self.cut.lock().contains(&(from.min(to), from.max(to)))
     }
@@ -255,7 +261,7 @@
     ) {
         let (network, from) = (Arc::clone(&self.network), self.from);
         tokio::spawn(async move {
-            sleep(TRIP).await;
+            sleep(network.trip(to)).await;
             if let Some(node) = network.node(to).filter(|_| network.connects(from, to)) {
                 act(&network, from, node);
             }
@@ -433,6 +439,11 @@
         others.for_each(|other| self.set_cut_between(index, other, cut));
     }
 
+    /// Delays the datagrams to a router; zero ends that.
+    pub fn set_lag(&self, index: usize, lag: Duration) {
+        self.network.lags.lock().insert(address(index), lag);
+    }
+
     /// Cuts two routers off from each other, or ends that.
     pub fn set_cut_between(&self, one: usize, other: usize, cut: bool) {
         let (one, other) = (address(one), address(other));
