budget: a router that knows no others refuses as exhausted by the account

Cause: the rule that a router drawing in a home's place asks those before it first also held for one that knows no other router; a request beyond the budget got 503 instead of 402 (gateway_names_the_team_of_a_refusal_for_budget, 4 of 4). Change: it applies only if there are others to ask. Measured: gateway_lines and tokens tests of the router's suite, 16 of 16.

--- a/crates/gateway/src/budget/asks.rs
+++ b/crates/gateway/src/budget/asks.rs
@@ -303,7 +303,8 @@
             let homes = self.choose_homes(state, team, need, effects);
             if state.teams.get(team).is_some_and(|known| known.drawing) {
                 effects.draw();
-                if !self.must_ask(state, team, need) {
+                let alone = homes.iter().all(|home| *home == Home::Own);
+                if alone || !self.must_ask(state, team, need) {
                     return self.refuse_drawing(state, team, need, effects);
                 }
             }
