tests: answers that break off while the upload is being written

Change: a stand-in that answers before it has read a body (early.rs); tests of the gateway's link, the gateway, the router's own pipeline and both clients of the store, on new and on kept connections.

--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,4 +1,4 @@
-//! Integration tests of the gateway, one file per feature. Only `handover` opens sockets, on
+//! Integration tests of the gateway, one file per feature. Only `handover` and `uploads` open sockets, on
 //! loopback.
 
 mod budget;
@@ -23,4 +23,5 @@
 mod sse;
 mod startup;
 mod time_limits;
+mod uploads;
 mod upstreams;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! examples and is not part of the product.
 
 pub mod caller;
+pub mod early;
 pub mod engine;
 pub mod platform;
 pub mod server;
