transport: an orderly end counts only if the connection did not break

Cause: after the peer has ended its side, the kernel reports a reset to no read, and after a failed write the next read returns an orderly end. A body without a length then passed as complete. Change: store::transport wraps the sockets of the gateway's link, the router's upstreams and the router's client of the store. At the end of the stream it checks the pending error and earlier failed writes, and while a write is blocked it holds the end back until the rest is accepted or fails. Limit: a request that the kernel has accepted whole counts as written (up to some MB).

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use fescue_store::head;
+use fescue_store::transport::Transport;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -102,8 +103,9 @@
         let head_limit = HeadLimit::open();
         let builder = &mut http1::Builder::new();
         let builder = builder.max_buf_size(MAX_HEAD_BYTES);
+        let stream = Guarded::open(stream, head_limit.clone());
         let (sender, driver) = builder
-            .handshake(TokioIo::new(Guarded::open(stream, head_limit.clone())))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| LinkError::NotSent(format!("{address}: {error}")))?;
         let driver = tokio::spawn(async move {
@@ -199,12 +201,12 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect(address: SocketAddr) -> std::io::Result<Transport> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     let stream = socket.connect(address).await?;
     set_socket_options(&stream)?;
-    Ok(stream)
+    Ok(Transport::new(stream))
 }
--- a/crates/router/src/upstream/call.rs
+++ b/crates/router/src/upstream/call.rs
@@ -14,7 +14,7 @@
 use fescue_gateway::buffers::{Buffers, Share};
 use fescue_policy::rate_limit::RequestRate;
 use fescue_policy::retry::Failure;
-use fescue_store::head;
+use fescue_store::{head, transport};
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -109,7 +109,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
-        let connector = Connector(connector);
+        let connector = Connector(transport::Connector(connector));
         let mut builder = legacy::Client::builder(TokioExecutor::new());
         builder.http1_max_buf_size(MAX_BUFFER_BYTES);
         let http = builder.build(connector.clone());
--- a/crates/router/src/upstream/connector.rs
+++ b/crates/router/src/upstream/connector.rs
@@ -9,11 +9,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
+use fescue_store::transport::{self, Transport};
 use http::{Extensions, Uri};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tower_service::Service;
 
 /// The number of reads in a row after which a connection lets other tasks run. What it read may have woken the
@@ -32,11 +32,11 @@
 
 /// Opens connections.
 #[derive(Clone)]
-pub(super) struct Connector(pub(super) HttpConnector);
+pub(super) struct Connector(pub(super) transport::Connector);
 
 impl Service<Uri> for Connector {
     type Response = Counted;
-    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Error = <transport::Connector as Service<Uri>>::Error;
     type Future = Pin<Box<dyn Future<Output = Result<Counted, Self::Error>> + Send>>;
 
     fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
@@ -59,7 +59,7 @@
 
 /// A connection whose answers are counted.
 pub(super) struct Counted {
-    stream: TokioIo<TcpStream>,
+    stream: TokioIo<Transport>,
     answers: Answers,
     /// The number of reads since the connection last let other tasks run.
     reads: u32,
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -17,6 +17,7 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 
+use crate::transport::Connector;
 use crate::{Commit, ObjectStore, Row, Table, TableError, Transaction, Vm, VmList, head};
 
 record! {
@@ -45,7 +46,7 @@
 
 /// A client of the table service, object store and VM list at one address.
 pub struct Client {
-    http: HyperClient<HttpConnector, Full<Bytes>>,
+    http: HyperClient<Connector, Full<Bytes>>,
     address: SocketAddr,
     timeout: Duration,
     vm: VmId,
@@ -64,7 +65,7 @@
         let mut connector = HttpConnector::new();
         // Nagle's algorithm would delay small calls until the previous one is acknowledged.
         connector.set_nodelay(true);
-        let http = HyperClient::builder(TokioExecutor::new()).build(connector);
+        let http = HyperClient::builder(TokioExecutor::new()).build(Connector(connector));
         Self {
             http,
             address,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod keys;
 pub mod table;
+pub mod transport;
 pub mod vms;
 
 pub use table::{Commit, ObjectStore, Row, Table, TableError, Transaction};
