--- a/crates/standin/src/early.rs
+++ b/crates/standin/src/early.rs
@@ -10,7 +10,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-/// Size of the receive buffer, so that even small uploads stay unwritten.
+/// Size of the receive buffer. With less than a segment of loopback (64 KB) the client waits for its timer between
+/// segments, and an upload of 16 MB took more than 20 s in some runs.
+const RECEIVE_BUFFER_BYTES: usize = 256 << 10;
+
+/// Size of a read.
 const BUFFER_BYTES: usize = 4096;
 
 /// Maximum number of reads of a part of a body; a client that writes as fast as they are would else complete it.
@@ -114,7 +118,7 @@
     {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         // Connections inherit it.
-        SockRef::from(&listener).set_recv_buffer_size(BUFFER_BYTES)?;
+        SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         let address = listener.local_addr()?;
         let reply = Arc::new(reply);
         let listener = tokio::spawn(async move {
