standin: the comment on the early upstream's buffer names no false cause

Cause: the comment gave the buffer's size as the cause of a stall that was then seen with the larger one, too. Change: the comment says what the size is for.

--- a/crates/standin/src/early.rs
+++ b/crates/standin/src/early.rs
@@ -10,8 +10,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-/// Size of the receive buffer. With less than a segment of loopback (64 KB) the client waits for its timer between
-/// segments, and an upload of 16 MB took more than 20 s in some runs.
+/// Size of the receive buffer: well below an upload, and more than a segment of loopback (64 KB).
 const RECEIVE_BUFFER_BYTES: usize = 256 << 10;
 
 /// Size of a read.
