--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests of the gateway, one file per feature. Only `handover` and `unsent` open sockets, on
+//! Integration tests of the gateway, one file per feature. Only `handover` and `uploads` open sockets, on
 //! loopback.
 
 mod budget;
@@ -29,5 +30,6 @@
 mod startup;
 mod time_limits;
 mod unsent;
+mod uploads;
 mod upstreams;
 mod waits;
