scheduling: keep requests within the memory that engines may use; pages

Cause: the filter of engines that a request fits into compared with all of their memory, not with 0.95 of it.

--- a/crates/gateway/src/schedulers.rs
+++ b/crates/gateway/src/schedulers.rs
@@ -3,7 +3,7 @@
 //! The engines of a service are divided into shards, each with a router as its home that rendezvous
 //! hashing selects. The home knows the requests that it placed on the shard's engines and chooses the
 //! engine for the next one. A home that does not answer is skipped for a second; without any, a request is
-//! placed by what its router knows. See [docs/design/work-plan.md](../../../docs/design/work-plan.md).
+//! placed by what its router knows. See [docs/design/scheduling.md](../../../docs/design/scheduling.md).
 
 mod inquiry;
 mod message;
--- a/crates/policy/src/scheduling.rs
+++ b/crates/policy/src/scheduling.rs
@@ -183,7 +183,7 @@
         let typical = self.typical_rate();
         let fitting = members
             .iter()
-            .filter(|member| work.bound() <= member.memory);
+            .filter(|member| work.bound() <= member.usable());
         let options: Vec<_> = fitting
             .map(|member| self.evaluate(work, member, typical, now))
             .collect();
