scheduling: prefer engines that have the prefix for longer

Change: an engine that has the prefix is good enough up to 0.7 of the target, and its cost counts as three quarters where none is good enough.

--- a/crates/policy/src/scheduling.rs
+++ b/crates/policy/src/scheduling.rs
@@ -95,8 +95,13 @@
 /// The average number of engines above which a service gets twice as many shards.
 const MAX_SHARD_ENGINES: usize = 24;
 
-/// The part of the target within which an engine that owns the prefix is good enough.
-const GOOD_PART: u32 = 2;
+/// The part of the target within which an engine is good enough, and the same for one that has the prefix.
+const GOOD_PART: f64 = 0.5;
+const GOOD_PART_CACHED: f64 = 0.7;
+
+/// The part of its cost that counts where an engine has the prefix and none is good enough: a prefix that is read
+/// again at another engine takes that engine's time from other prompts.
+const CACHED_COST: f64 = 0.75;
 
 /// The part of its reading time that a prompt costs each answer that goes on beside it: engines make tokens
 /// between the parts of a prompt, so a long one widens the gaps between events.
@@ -325,9 +330,17 @@
 /// order of the prefix; or else the cheapest one. Engines without a free slot come after these, and if none has the
 /// memory, the one with most room gets it.
 fn choose(options: &[Offer], key: u64, target: Duration) -> Option<&Offer> {
-    let good = |option: &&Offer| option.free && option.cost <= target / GOOD_PART;
+    let part = |option: &Offer| match option.cached {
+        true => GOOD_PART_CACHED,
+        false => GOOD_PART,
+    };
+    let good = |option: &&Offer| option.free && option.cost <= target.mul_f64(part(option));
     let score = |option: &&Offer| hash::score(key, option.member);
-    let cheap = |option: &&Offer| (option.cost, Reverse(score(option)));
+    let counted = |option: &Offer| match option.cached {
+        true => option.cost.mul_f64(CACHED_COST),
+        false => option.cost,
+    };
+    let cheap = |option: &&Offer| (counted(option), Reverse(score(option)));
     let cached = options.iter().filter(good).filter(|option| option.cached);
     cached
         .min_by_key(cheap)
