cold upstreams: one conversion between findings and reports

Cause: the same four fields were copied in three places, the check for numbers stood twice, and the end of an evacuation logged the number of upstreams that count as cold in two lines. Change: ColdFinding::new and report; the number is logged by mark_data_centre only.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -45,8 +45,21 @@
 }
 
 impl ColdFinding {
-    fn is_numbered(&self) -> bool {
-        self.started.is_some() && self.sequence.is_some()
+    fn new(upstream: &UpstreamId, report: Report) -> Self {
+        Self {
+            upstream: upstream.clone(),
+            started: report.started,
+            sequence: report.sequence,
+            remaining: report.remaining,
+        }
+    }
+
+    fn report(&self) -> Report {
+        Report {
+            started: self.started,
+            sequence: self.sequence,
+            remaining: self.remaining,
+        }
     }
 }
 
@@ -85,11 +98,7 @@
 pub fn receive_finding(gateway: &Gateway, finding: &ColdFinding) {
     let now = gateway.now();
     let warmth = gateway.servers.lock().warmth(&finding.upstream, now);
-    let report = Report {
-        started: finding.started,
-        sequence: finding.sequence,
-        remaining: finding.remaining,
-    };
+    let report = finding.report();
     let news = warmth.record(report, now);
     if news && report.is_numbered() && is_home(gateway, &finding.upstream) {
         gateway.outbox.push_cold(&finding.upstream);
@@ -120,12 +129,7 @@
     let now = gateway.now();
     let warmth = gateway.servers.lock().warmth(upstream, now);
     let report = warmth.report(now)?;
-    Some(ColdFinding {
-        upstream: upstream.clone(),
-        started: report.started,
-        sequence: report.sequence,
-        remaining: report.remaining,
-    })
+    Some(ColdFinding::new(upstream, report))
 }
 
 /// Returns the findings about all cold upstreams that any router may pass on: by their numbers others know whether
@@ -136,12 +140,7 @@
     let finding = |server: &Arc<Server>| {
         let report = server.warmth.report(now)?;
         let report = report.is_numbered().then_some(report)?;
-        Some(ColdFinding {
-            upstream: server.entry.id.clone(),
-            started: report.started,
-            sequence: report.sequence,
-            remaining: report.remaining,
-        })
+        Some(ColdFinding::new(&server.entry.id, report))
     };
     servers.iter().filter_map(finding).collect()
 }
@@ -151,7 +150,7 @@
     let mut peers = gateway.peers.lock();
     let homes = peers.homes_of(permits::place(&finding.upstream));
     match homes {
-        Some(homes) if finding.is_numbered() && !homes.contains(&Home::Own) => {
+        Some(homes) if finding.report().is_numbered() && !homes.contains(&Home::Own) => {
             let peers = homes.into_iter().filter_map(|home| match home {
                 Home::Own => None,
                 Home::Peer(peer) => Some(peer),
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -153,8 +153,8 @@
 /// has locked the evacuations; the upstreams may be locked here.
 fn end(gateway: &Gateway, data_centre: &DataCentreId) {
     let requests = gateway.servers.lock().running_in(data_centre);
-    let cold = cold::mark_data_centre(gateway, data_centre);
-    tracing::info!(%data_centre, requests, cold, "evacuation of a data centre ends");
+    tracing::info!(%data_centre, requests, "evacuation of a data centre ends");
+    cold::mark_data_centre(gateway, data_centre);
 }
 
 /// Logs the evacuations that have begun since the last call, and those of data centres that nobody knows.
