--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")" || exit 2
 target=../../target
 export GATEWAY=$PWD/$target/release/fescuedrift RECORD=$PWD/record.txt
-[ -x "$GATEWAY" ] && [ -x "$target/review-2/debug/shared_part" ] || exit 2
-"$target/review-2/debug/shared_part"
+[ -x "$GATEWAY" ] && [ -x "$target/review-2/release/shared_part" ] || exit 2
+"$target/review-2/release/shared_part"
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
