--- a/review/standin-2/src/bin/pause.rs
+++ b/review/standin-2/src/bin/pause.rs
@@ -16,12 +16,12 @@
 use tokio::time::{Instant, sleep};
 
 const CALLERS: usize = 6;
-/// The largest `quality-dossier` of the sheet: 224 events of 330 bytes.
-const EVENTS: usize = 224;
-const EVENT_BYTES: usize = 330;
+/// The largest `campaign-review` of the sheet: 140 events of 420 bytes.
+const EVENTS: usize = 140;
+const EVENT_BYTES: usize = 420;
 const EVENT_INTERVAL: Duration = Duration::from_millis(4);
-/// For how long a caller doesn't read: less than the six seconds after which callers of this kind leave.
-const PAUSE: Duration = Duration::from_secs(4);
+/// For how long a caller doesn't read: less than the four seconds after which callers of this kind leave.
+const PAUSE: Duration = Duration::from_millis(3500);
 
 fn event(number: usize) -> String {
     let head = format!("id: {number}\ndata: ");
@@ -72,8 +72,8 @@
     let mut seen = Vec::new();
     let plain = read_until(&mut stream, &mut seen, format!("done {id}").as_bytes()).await;
     record.line(format!("{id}: {plain:?}"));
-    let id = format!("dossier-{number}");
-    let more = "x-fescuedrift-model: m\r\nx-fescuedrift-token-usage: 1000,1200\r\n\
+    let id = format!("review-{number}");
+    let more = "x-fescuedrift-model: m\r\nx-fescuedrift-token-usage: 1000,900\r\n\
                 x-fescuedrift-prompt-prefix: c0ffee:900,d0d0:100\r\n";
     let start = Instant::now();
     stream
@@ -106,6 +106,7 @@
     for route in config["routes"].as_array_mut().expect("routes") {
         if route["kind"] == "streaming" {
             route["timeout_ms"] = json!(15_000);
+            route["target_latency_ms"] = json!(1_000);
         }
     }
     site.store.store.put("op", "config", &config);
