--- a/review/standin-3/src/lib.rs
+++ b/review/standin-3/src/lib.rs
@@ -362,13 +362,16 @@
 
 /// Sends a request over a new connection and reads the answer to its end.
 pub async fn send(to: SocketAddr, ask: &Ask) -> Got {
+    send_for(to, ask, ask.deadline + Duration::from_secs(1)).await
+}
+
+/// The same, and leaves after `limit`.
+pub async fn send_for(to: SocketAddr, ask: &Ask, limit: Duration) -> Got {
     let mut got = Got::default();
-    let limit = ask.deadline + Duration::from_secs(1);
-    let ended = timeout(limit, exchange(to, ask, &mut got)).await;
-    match ended {
+    match timeout(limit, exchange(to, ask, &mut got)).await {
         Ok(Ok(())) => got.complete = true,
         Ok(Err(error)) => got.error = error,
-        Err(_) => got.error = "no end within the deadline and a second".to_owned(),
+        Err(_) => got.error = format!("no end within {limit:?}"),
     }
     got
 }
