gateway: log how many events a resumed stream has forwarded, and why it broke

Cause: the line "stream resumed" named only the last id. Whether anything had been forwarded before a stream went on without an id could not be told.

Change: the line has the number of forwarded events and the failure of the attempt before.

--- a/crates/gateway/src/stream/resume.rs
+++ b/crates/gateway/src/stream/resume.rs
@@ -46,7 +46,8 @@
             };
             let request = &self.job.call.id;
             if goes_on {
-                tracing::info!(request, last, "stream resumed");
+                let events = self.count;
+                tracing::info!(request, last, events, ?failure, "stream resumed");
                 return Ok((started.source, started.first));
             }
             let server = started.source.slot.server();
