gateway: forward only numbered events of a stream

A text could also begin a stream that is taken up or goes on within its answer.

Cause: any block that ends with a blank line was forwarded, and one without an id was taken for a first event. When the answer broke off, no last id was known, and the next upstream was asked for the whole stream.

Change: an event is UTF-8 text of known fields with data and one number, above that of the event before. The first event of an answer is checked before anything is forwarded, comments before it are held back with it, so that what has been forwarded always begins the stream that goes on. The attempt fails and counts against its upstream; another one is asked for the same stream. Comments aren't billed or counted as events, and a new stream without events fails.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -186,4 +186,9 @@
 
     /// Decodes the head of an upstream's response.
     fn decode_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseMeta;
+
+    /// Returns the name of the field that the platform adds to server-sent events; `None` if it adds none.
+    fn event_field(&self) -> Option<&str> {
+        None
+    }
 }
--- a/crates/gateway/src/pipeline/resume.rs
+++ b/crates/gateway/src/pipeline/resume.rs
@@ -43,6 +43,11 @@
     if !is_resumption(route, call) {
         return Ok(Continuation::Fresh);
     }
+    let last = call.last_event.as_deref().unwrap_or_default();
+    if last.parse::<u64>().is_err() {
+        let message = "the last event id is not the number of an event";
+        return Err(Refusal::not_run(Reason::BadRequest, message));
+    }
     let Some(first) = &call.resumes else {
         tracing::info!(
             request = call.id,
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -12,6 +12,29 @@
 }
 
 impl Event {
+    /// Returns the number that the `id` field gives the event in its stream. `extension` names a field that
+    /// events may have besides those of the format.
+    ///
+    /// `None` for anything that is not exactly one numbered event, such as the text of an error: text that isn't
+    /// UTF-8, a line that is no field, an event without data, or without an id that is a number.
+    pub fn number(&self, extension: Option<&str>) -> Option<u64> {
+        let text = std::str::from_utf8(&self.bytes).ok()?;
+        let (mut number, mut data) = (None, false);
+        for line in text.lines().filter(|line| !line.is_empty()) {
+            let (name, value) = line.split_once(':').unwrap_or((line, ""));
+            match name {
+                "id" if number.is_some() => return None,
+                "id" => number = Some(value.trim().parse().ok()?),
+                "data" => data = true,
+                // A comment has no name.
+                "" | "event" | "retry" => {}
+                name if extension == Some(name) => {}
+                _ => return None,
+            }
+        }
+        number.filter(|_| data)
+    }
+
     /// Returns whether the event holds only comments, which callers skip.
     pub fn is_comment(&self) -> bool {
         let mut lines = self.bytes.split(|byte| *byte == b'\n');
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 //! the caller can't take it for complete.
 
 mod resume;
+mod source;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,18 +15,16 @@
 use fescue_policy::retry::Failure;
 use fescue_store::head;
 use http::{Response, response};
-use http_body_util::{BodyExt, Either};
-use hyper::body::Incoming;
+use http_body_util::Either;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::gateway::RequestGuard;
 use crate::job::{Ending, Job, Limit, OpenResponse, end_to_end};
-use crate::link::Link;
 use crate::reply::{ResponseBody, StreamBody, Truncated};
-use crate::sse::{Event, Splitter};
-use crate::upstreams::Slot;
+use crate::sse::{Event, MAX_EVENT_BYTES, Splitter};
 use resume::Form;
+use source::{Item, Source};
 
 /// How long an upstream may be silent before another one may take a resumable stream over. It is
 /// well under 2 s, the shortest gap after which callers give up.
@@ -37,69 +36,13 @@
 /// How long after its deadline an unfinished stream is aborted.
 const DEADLINE_GRACE: Duration = Duration::from_millis(150);
 
-/// An event stream from one upstream.
-struct Source {
-    body: Incoming,
-    splitter: Splitter,
-    link: Link,
-    slot: Slot,
-    /// Whether the answer ends with its connection.
-    unframed: bool,
-    /// Whether the answer has cleared the parts of its prompt.
-    cleared: bool,
-}
-
-/// The next item of a stream.
-enum Item {
-    Event(Event),
-    End,
-}
-
-impl Source {
-    async fn next(&mut self, limit: Instant) -> Result<Item, Failure> {
-        // Events that are always available would never let the time-out below expire.
-        if Instant::now() >= limit {
-            return Err(Failure::TimedOut);
-        }
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                return Ok(Item::Event(event));
-            }
-            if self.splitter.exceeds_limit() {
-                return Err(Failure::MidAnswer);
-            }
-            match timeout_at(limit, self.body.frame()).await {
-                Err(_) => return Err(Failure::TimedOut),
-                Ok(None) if self.splitter.is_partial() => return Err(Failure::MidAnswer),
-                Ok(None) => return Ok(Item::End),
-                Ok(Some(Err(error))) => {
-                    tracing::debug!(%error, "can't read the stream from the upstream");
-                    return Err(Failure::MidAnswer);
-                }
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.splitter.push(&data);
-                    }
-                }
-            }
-        }
-    }
-}
-
-impl Source {
-    /// Clears the parts of the prompt once the answer has gone on for some time.
-    fn settle(&mut self, job: &Job) {
-        if !self.cleared && job.progress.is_settled(job.gateway.now()) {
-            self.cleared = true;
-            job.gateway.record_begun(&job.attempt);
-        }
-    }
-}
-
 /// An open stream whose first item has been read.
 struct OpenStream {
     head: response::Parts,
     source: Source,
+    /// The comments that precede the first item. They are forwarded with it, so that nothing has been forwarded
+    /// of an answer that breaks off before.
+    comments: Bytes,
     first: Item,
     /// The version of the weights that the response begins with.
     weights: Option<u64>,
@@ -152,9 +95,10 @@
         events,
         last,
         count: 0,
+        comments: 0,
         _running: running,
     };
-    tokio::spawn(relay.run(started.source, started.first));
+    tokio::spawn(relay.run(started));
     Ok(response)
 }
 
@@ -164,7 +108,7 @@
     loop {
         let limit = next_event_limit(job);
         let failure = match job.send(last, limit).await {
-            Ok(opened) => match read_first(job, opened, limit, form).await {
+            Ok(opened) => match read_first(job, opened, limit, last, form).await {
                 Ok(start) => return Ok(start),
                 Err(failure) => failure,
             },
@@ -191,6 +135,7 @@
     job: &mut Job,
     opened: OpenResponse,
     limit: Limit,
+    last: Option<&str>,
     form: Option<&Form>,
 ) -> Result<Start, Failure> {
     let OpenResponse {
@@ -234,9 +179,14 @@
         unframed: head::is_unframed(&head.headers),
         cleared: false,
     };
-    let first = job.wait(limit, source.next(limit.end)).await.flatten();
+    let (comments, first) = source.read_opening(job, limit).await;
     let first = match first {
-        Ok(Item::End) if form.is_none() && source.unframed => Err(Failure::Broke),
+        // A new stream has events; one that is taken up may have ended with the event before.
+        Ok(Item::End) if last.is_none() || form.is_none() && source.unframed => Err(Failure::Broke),
+        Ok(Item::Event(event)) if !resume::follows(job, last, &event) => {
+            resume::log_stray(job, source.slot.server(), last, &event);
+            Err(Failure::MidAnswer)
+        }
         first => first,
     };
     let first = first.inspect_err(|failure| job.record_failure(source.slot.server(), *failure))?;
@@ -255,30 +205,39 @@
     Ok(Start::Stream(Box::new(OpenStream {
         head,
         source,
+        comments,
         first,
         weights,
     })))
 }
 
 /// Relays a stream to its caller, resuming it at other upstreams when it breaks.
+///
+/// # Invariants
+///
+/// What has been forwarded begins the stream that goes on: only events that follow the one before are, and the
+/// comments between them. Before the first event nothing is forwarded.
 struct Relay {
     job: Job,
     /// How the caller was told to read the stream.
     form: Form,
     events: mpsc::Sender<Result<Bytes, Truncated>>,
     last: Option<String>,
+    /// The number of events that were forwarded.
     count: u64,
+    /// The bytes of comments that were forwarded since the last event.
+    comments: usize,
     _running: RequestGuard,
 }
 
 impl Relay {
-    async fn run(mut self, source: Source, first: Item) {
+    async fn run(mut self, started: OpenStream) {
         let status = http::StatusCode::OK;
         let caller = self.events.clone();
         let gateway = Arc::clone(&self.job.gateway);
         let ended = tokio::select! {
             biased;
-            ended = self.relay(source, first) => Some(ended),
+            ended = self.relay(started) => Some(ended),
             () = caller.closed() => None,
             () = gateway.drain.aborted() => Some(Err(Failure::TimedOut)),
         };
@@ -322,29 +281,30 @@
     }
 
     /// Relays events until the stream ends, resuming it at another upstream after a failure.
-    async fn relay(&mut self, mut source: Source, mut next: Item) -> Result<UpstreamId, Failure> {
+    async fn relay(&mut self, started: OpenStream) -> Result<UpstreamId, Failure> {
+        let (mut source, mut next) = self.begin(started).await;
         loop {
             let failure = loop {
                 match next {
-                    Item::End => {
-                        let job = &self.job;
-                        job.record_complete(source.slot.server(), source.unframed);
-                        // A stream that goes on after an event of the caller's is shorter than usual.
-                        if job.call.last_event.is_none() {
-                            let length = job.arrival.elapsed();
-                            job.gateway.drain.record_length(&job.route, length, false);
+                    Item::End => return Ok(self.end(source)),
+                    Item::Event(event) if event.is_comment() => {
+                        self.comments += event.bytes.len();
+                        if self.comments > MAX_EVENT_BYTES {
+                            break Failure::MidAnswer;
                         }
-                        let server = Arc::clone(source.slot.server());
-                        server.recycle(source.link);
-                        return Ok(server.entry.id.clone());
+                        self.forward(event.bytes).await;
                     }
                     Item::Event(_) if !self.job.covers_event() => {
                         break Failure::MidAnswer;
                     }
-                    Item::Event(event) if !self.follows(&event) => break Failure::MidAnswer,
                     Item::Event(event) => {
+                        let last = self.last.as_deref();
+                        if !resume::follows(&self.job, last, &event) {
+                            resume::log_stray(&self.job, source.slot.server(), last, &event);
+                            break Failure::MidAnswer;
+                        }
                         source.settle(&self.job);
-                        self.forward(event).await;
+                        self.forward_event(event).await;
                     }
                 }
                 let limit = next_event_limit(&self.job);
@@ -356,17 +316,43 @@
             };
             self.job.record_failure(source.slot.server(), failure);
             drop(source);
-            (source, next) = self.resume(failure).await?;
+            let started = self.resume(failure).await?;
+            (source, next) = self.begin(started).await;
+        }
+    }
+
+    /// Forwards the comments that an answer begins with; returns the answer and its first item.
+    async fn begin(&mut self, started: OpenStream) -> (Source, Item) {
+        if !started.comments.is_empty() {
+            self.forward(started.comments).await;
+        }
+        (started.source, started.first)
+    }
+
+    /// Records that the stream is complete, and returns the upstream that ended it.
+    fn end(&self, source: Source) -> UpstreamId {
+        let job = &self.job;
+        job.record_complete(source.slot.server(), source.unframed);
+        // A stream that goes on after an event of the caller's is shorter than usual.
+        if job.call.last_event.is_none() {
+            let length = job.arrival.elapsed();
+            job.gateway.drain.record_length(&job.route, length, false);
         }
+        let server = Arc::clone(source.slot.server());
+        server.recycle(source.link);
+        server.entry.id.clone()
     }
 
-    async fn forward(&mut self, event: Event) {
+    async fn forward_event(&mut self, event: Event) {
         self.job.count_event(event.bytes.len());
         self.count += 1;
-        if event.id.is_some() {
-            self.last = event.id;
-        }
+        self.comments = 0;
+        self.last = event.id;
+        self.forward(event.bytes).await;
+    }
+
+    async fn forward(&self, bytes: Bytes) {
         // `run` detects a caller that disconnected.
-        let _sent = self.events.send(Ok(event.bytes)).await;
+        let _sent = self.events.send(Ok(bytes)).await;
     }
 }
--- a/crates/gateway/src/stream/resume.rs
+++ b/crates/gateway/src/stream/resume.rs
@@ -4,9 +4,10 @@
 use http::{HeaderMap, HeaderValue, header};
 use tokio::time::Instant;
 
-use super::{Item, Relay, Source, Start, start};
-use crate::job::event_tokens;
+use super::{Item, OpenStream, Relay, Start, start};
+use crate::job::{Job, event_tokens};
 use crate::sse::Event;
+use crate::upstreams::Server;
 
 /// The headers that say how the body of a stream is to be read, which its caller got from the first
 /// upstream.
@@ -29,7 +30,7 @@
 impl Relay {
     /// Resumes the stream after a failure, at the first upstream whose answer goes on with it. The others
     /// count as failed attempts, and nothing of their answers is forwarded.
-    pub(super) async fn resume(&mut self, failure: Failure) -> Result<(Source, Item), Failure> {
+    pub(super) async fn resume(&mut self, failure: Failure) -> Result<OpenStream, Failure> {
         let mut failure = failure;
         loop {
             if Instant::now() >= self.job.deadline || !self.job.may_continue(failure) {
@@ -40,15 +41,11 @@
             let Start::Stream(started) = started else {
                 return Err(Failure::MidAnswer);
             };
-            let goes_on = match &started.first {
-                Item::Event(event) => self.follows(event),
-                Item::End => self.is_full(),
-            };
             let request = &self.job.call.id;
-            if goes_on {
+            if matches!(started.first, Item::Event(_)) || self.is_full() {
                 let events = self.count;
                 tracing::info!(request, last, events, ?failure, "stream resumed");
-                return Ok((started.source, started.first));
+                return Ok(*started);
             }
             let server = started.source.slot.server();
             let upstream = server.entry.id.as_str();
@@ -56,30 +53,41 @@
                 request,
                 upstream,
                 last,
-                "answer doesn't go on after the last event"
+                "answer ends where the stream should go on"
             );
             server.record_outcome(self.job.gateway.now(), false);
             failure = Failure::Broke;
         }
     }
 
-    /// Returns whether an event may come after those that were forwarded: ids increase, and an event
-    /// without one among others that have it is no part of the stream.
-    pub(super) fn follows(&self, event: &Event) -> bool {
-        let last = self.last.as_deref().filter(|_| self.count > 0);
-        let Some(last) = last else { return true };
-        let Some(id) = event.id.as_deref() else {
-            return event.is_comment();
-        };
-        match (last.parse::<u64>(), id.parse::<u64>()) {
-            (Ok(last), Ok(id)) => id > last,
-            _ => id != last,
-        }
-    }
-
     /// Returns whether the stream has all events that the request asked for.
     fn is_full(&self) -> bool {
         let tokens = event_tokens(&self.job.service).saturating_mul(self.count);
         tokens > 0 && tokens >= self.job.call.output.get()
     }
 }
+
+/// Returns whether an event may come after the event `last` of its stream, or begin the stream: its number must be
+/// higher, and what has no number is no event of a stream.
+pub(super) fn follows(job: &Job, last: Option<&str>, event: &Event) -> bool {
+    let Some(number) = event.number(job.gateway.codec.event_field()) else {
+        return false;
+    };
+    last.is_none_or(|last| last.parse::<u64>().is_ok_and(|last| number > last))
+}
+
+/// The number of bytes that are logged of what is no event.
+const MAX_LOGGED_BYTES: usize = 80;
+
+/// Logs a part of an answer that doesn't follow the event `last` of its stream.
+pub(super) fn log_stray(job: &Job, server: &Server, last: Option<&str>, event: &Event) {
+    let text = &event.bytes[..event.bytes.len().min(MAX_LOGGED_BYTES)];
+    let text = String::from_utf8_lossy(text);
+    tracing::warn!(
+        request = job.call.id,
+        upstream = server.entry.id.as_str(),
+        last,
+        %text,
+        "answer holds what is no event of the stream; the attempt fails"
+    );
+}
--- a/crates/router/tests/suite/gateway_resumes.rs
+++ b/crates/router/tests/suite/gateway_resumes.rs
@@ -21,7 +21,7 @@
 const ERROR: &str = "ERROR-TEXT";
 
 /// The head of an answer, with what follows the status line.
-fn head(request: &RequestHead, status: &str, fields: &str) -> String {
+pub fn head(request: &RequestHead, status: &str, fields: &str) -> String {
     let id = &request.id;
     format!(
         "HTTP/1.1 {status}\r\nx-fescuedrift-response-signature: s.{id}\r\n\
@@ -29,9 +29,10 @@
     )
 }
 
-const STREAM: &str = "content-type: text/event-stream\r\nconnection: close\r\n";
+/// The fields of an answer that is a stream and ends with its connection.
+pub const STREAM: &str = "content-type: text/event-stream\r\nconnection: close\r\n";
 
-fn events(request: &RequestHead, numbers: std::ops::RangeInclusive<u64>) -> String {
+pub fn events(request: &RequestHead, numbers: std::ops::RangeInclusive<u64>) -> String {
     numbers
         .map(|number| engine::event(&request.id, number))
         .collect()
@@ -89,14 +90,12 @@
     ("error", "data: ERROR-TEXT\n\n"),
 ];
 
-/// Starts a gateway's site with three upstreams. Of each request, the first attempt breaks off, the second
-/// gets an error, and the next ones go on.
-async fn site(
-    name: &str,
-    attempts: u32,
-    broken: &'static str,
-    error: Script,
-) -> (Site, Vec<KeptUpstream>) {
+/// Starts a gateway's site with three upstreams. `script` returns what to do for a request, by how many of them
+/// have received it.
+pub async fn scripted<F>(name: &str, attempts: u32, script: F) -> (Site, Vec<KeptUpstream>)
+where
+    F: Fn(&RequestHead, u32) -> Vec<Step> + Clone + Send + Sync + 'static,
+{
     let site = Site::open(name, 1_000_000).await;
     for engine in &site.engines {
         site.store.store.remove("servers", &engine.id);
@@ -107,7 +106,7 @@
     let counts: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
     let mut upstreams = Vec::new();
     for index in 0..3 {
-        let counts = Arc::clone(&counts);
+        let (counts, script) = (Arc::clone(&counts), script.clone());
         let upstream = KeptUpstream::spawn(move |heads| {
             let request = &heads[heads.len() - 1];
             let count = {
@@ -116,18 +115,7 @@
                 *count += 1;
                 *count
             };
-            let begin = |numbers| head(request, "200 OK", STREAM) + &events(request, numbers);
-            match count {
-                // The events reach the caller before the stream breaks off.
-                1 => vec![
-                    Step::Send(begin(1..=2)),
-                    Step::Wait(Duration::from_millis(50)),
-                    Step::Send(broken.to_owned()),
-                    Step::Close,
-                ],
-                2 => vec![Step::Send(error(request)), Step::Close],
-                _ => vec![Step::Send(begin(3..=6)), Step::Close],
-            }
+            script(request, count)
         });
         let upstream = upstream.await.expect("an upstream");
         let entry = upstream_entry(ENGINES, upstream.address, 8, false);
@@ -139,6 +127,31 @@
     (site, upstreams)
 }
 
+/// Starts a gateway's site as [`scripted`] does. Of each request, the first attempt breaks off, the second
+/// gets an error, and the next ones go on.
+async fn site(
+    name: &str,
+    attempts: u32,
+    broken: &'static str,
+    error: Script,
+) -> (Site, Vec<KeptUpstream>) {
+    let script = move |request: &RequestHead, count: u32| {
+        let begin = |numbers| head(request, "200 OK", STREAM) + &events(request, numbers);
+        match count {
+            // The events reach the caller before the stream breaks off.
+            1 => vec![
+                Step::Send(begin(1..=2)),
+                Step::Wait(Duration::from_millis(50)),
+                Step::Send(broken.to_owned()),
+                Step::Close,
+            ],
+            2 => vec![Step::Send(error(request)), Step::Close],
+            _ => vec![Step::Send(begin(3..=6)), Step::Close],
+        }
+    };
+    scripted(name, attempts, script).await
+}
+
 /// Sends a request and returns all bytes until the end of its connection.
 async fn raw(site: &Site, address: SocketAddr, path: &str, id: &str) -> String {
     raw_with(site, address, path, id, "3000").await
--- a/crates/router/tests/suite/main.rs
+++ b/crates/router/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod gateway_limits;
 mod gateway_lines;
 mod gateway_memory;
+mod gateway_openings;
 mod gateway_pauses;
 mod gateway_refusals;
 mod gateway_reloads;
