upstream: refuse an event with further lines of text

What callers saw: nothing reported; a block whose first line is an event and whose further lines are an error's text was forwarded, and counted as a token of the answer.

Cause: the data of an event was all that follows "data:" up to the blank line.

Change: the data is one line of UTF-8 text; anything else fails the attempt, as other text did before.

--- a/crates/router/src/upstream/events.rs
+++ b/crates/router/src/upstream/events.rs
@@ -46,9 +46,9 @@
     }
 }
 
-/// Returns the data of an event that has only a data field; `None` for anything else.
+/// Returns the data of an event that has only a data field of one line; `None` for anything else.
 fn data(event: &Bytes) -> Option<Bytes> {
-    let event = event.slice_ref(event.trim_ascii_end());
-    let data = event.strip_prefix(b"data:").map(<[u8]>::trim_ascii_start);
-    data.map(|data| event.slice_ref(data))
+    let text = std::str::from_utf8(event).ok()?.trim_ascii_end();
+    let data = text.strip_prefix("data:")?.trim_ascii_start();
+    (!data.contains('\n')).then(|| event.slice_ref(data.as_bytes()))
 }
--- a/crates/router/tests/suite/process_resumes.rs
+++ b/crates/router/tests/suite/process_resumes.rs
@@ -72,6 +72,10 @@
         ("head", |r| {
             head(r, "200 OK", STREAM) + "HTTP/1.1 500 " + ERROR + "\r\n\r\n"
         }),
+        // One block, whose first line is an event.
+        ("lines", |r| {
+            head(r, "200 OK", STREAM) + "data: {\"choices\":[]}\n" + ERROR + "\n\n"
+        }),
         ("empty", |r| head(r, "200 OK", EMPTY)),
     ]
 }
@@ -154,11 +158,16 @@
 
 /// Plays one request for each error; returns the name of the error and the answer.
 async fn play(goes_on: bool) -> Vec<(&'static str, Response)> {
+    play_at(async |error| failing_engines(error, goes_on).await).await
+}
+
+/// Plays one request for each error at the engines that `open` starts.
+async fn play_at(open: impl AsyncFn(Script) -> Vec<KeptUpstream>) -> Vec<(&'static str, Response)> {
     let mut answers = Vec::new();
     for errors in errors().chunks(REQUESTS_PER_SITE) {
         let site = Site::start(&["dakar-1"], 1, QUICK).await;
         for (name, error) in errors {
-            let engines = failing_engines(*error, goes_on).await;
+            let engines = open(*error).await;
             apply(&site, name, &engines).await;
             let answer = site.ask(0, &chat(name, &format!("lot {name}"), 5)).await;
             answers.push((*name, answer));
@@ -181,6 +190,26 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+/// Guards against the text of an error at the begin of an answer, which another engine has whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_begins_past_an_error() {
+    let open = async |error: Script| {
+        engines(move |request, count| match count {
+            1 => error(request),
+            _ => stream(request, 1..=5) + &last_event("stop") + "data: [DONE]\n\n",
+        })
+        .await
+    };
+    let mut faults = Vec::new();
+    for (name, answer) in play_at(open).await {
+        let whole = answer.is_complete() && answer.text() == "<1><2><3><4><5>";
+        if !whole || answer.body.contains(ERROR) {
+            faults.push(format!("{name}: {}", answer.body));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
 /// Guards against a stream that seems complete, or holds an error's text, where no engine can go on.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_breaks_off_visibly_after_errors() {
