gateway: log which upstreams a stream that is refused could have gone on at

Cause: the refusal of a stream that is taken up said that no upstream of its version is left, also where some are listed and drain. Lost, crashed and leaving upstreams could not be told apart.

Change: one line names the version, and how many of its upstreams are listed, leaving and tried.

--- a/crates/gateway/src/job/continuation.rs
+++ b/crates/gateway/src/job/continuation.rs
@@ -1,5 +1,6 @@
 //! Streams that have begun, which go on only at upstreams like the one that began them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fescue_core::outcome::Reason;
@@ -145,6 +146,22 @@
         let refusal = Refusal::not_run(Reason::NoUpstream, message);
         let servers = self.gateway.servers.lock();
         let origin = self.continuation.origin();
+        if let Some(origin) = origin {
+            let of_version = |server: &&Arc<Server>| {
+                let entry = &server.entry;
+                entry.service == origin.service && entry.version.as_ref() == Some(&origin.version)
+            };
+            let listed: Vec<_> = servers.iter().filter(of_version).collect();
+            let leaving = listed.iter().filter(|server| server.is_leaving()).count();
+            tracing::info!(
+                request = self.call.id,
+                version = origin.version.as_str(),
+                listed = listed.len(),
+                leaving,
+                tried = self.tried.len(),
+                "stream can't go on at any upstream of its version"
+            );
+        }
         match origin.is_some_and(|origin| servers.lists_version(origin)) {
             true => refusal.with_retry_after(RETRY_AFTER_VERSION),
             false => refusal,
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -367,7 +367,12 @@
     }
 
     pub(super) fn is_usable_at(&self, now: Instant) -> bool {
-        !self.entry.draining && self.state.lock().is_listed(now) && !self.facts.is_leaving()
+        !self.is_leaving() && self.state.lock().is_listed(now)
+    }
+
+    /// Returns whether the upstream is shutting down, as its entry or its answers say.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.draining || self.facts.is_leaving()
     }
 
     /// Returns the version of its software; `None` if it names none, or if the process that named it has
