upstreams: let streams that have begun go on at upstreams that drain

A stream that broke off within an answer was cut for the same reason.

Cause: whether new work should go to an upstream and whether a request may still reach it were one question. An upstream that drains took nothing from the moment at which its entry was read.

Change: an upstream takes all requests, those that continue a stream, or none. One that leaves takes continuations for three quarters of drain_ms, if no other upstream of the version can be used. The time counts from when this router learnt it first, in any way, or from its last current list if it learnt it late; an unknown time is over. It is checked again right before a request is sent, for all requests. Slot and rating have files of their own.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -80,6 +80,15 @@
                 // The store answers at once, or after the wait if there is nothing new.
                 let waited = self.version.is_some() && batch.entries.is_empty();
                 let read_at = if waited { started + wait } else { started };
+                let followed = self.version.is_some() && self.failures == 0;
+                if self.topic == Topic::Upstreams {
+                    // Changes are told at once to a call that waits for them.
+                    let since = match followed && started.elapsed() <= wait {
+                        true => Instant::now(),
+                        false => self.gateway.last_sync(),
+                    };
+                    self.gateway.servers.lock().set_changed_since(Some(since));
+                }
                 self.apply_batch(batch, read_at.min(Instant::now()));
             }
             Err(RegistryError::Compacted) => {
@@ -191,7 +200,7 @@
                 if lapsed {
                     servers.mark_removed(&id, self.gateway.tuning().relist);
                 } else {
-                    servers.remove(&id);
+                    servers.withdraw(&id);
                 }
                 None
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -145,6 +145,7 @@
             Arc::clone(&metrics),
         );
         let link = LinkUsage::open(settings.link_mbps);
+        let servers = Mutex::new(Servers::open(settings.continuation_time()));
         let tuning = Mutex::new(settings.tuning());
         Arc::new(Self {
             settings,
@@ -155,7 +156,7 @@
             metrics,
             buffers: Buffers::open(ORDINARY_RESPONSE_BYTES, RESPONSE_BYTES),
             request_buffers: Buffers::open(ORDINARY_REQUEST_BYTES, REQUEST_BYTES),
-            servers: Mutex::default(),
+            servers,
             evacuations: Evacuations::default(),
             budget,
             courier,
@@ -348,6 +349,11 @@
         *self.last_sync.lock() = at;
     }
 
+    /// Returns the time at which the list of upstreams was last known to be current.
+    pub fn last_sync(&self) -> Instant {
+        *self.last_sync.lock()
+    }
+
     /// Returns whether this router may miss changes that other routers see: its own link is full and
     /// its list of upstreams is out of date, so the store's answers may not get through. An outage of
     /// the store can't be told apart from this here; routers whose links have room keep using the
--- a/crates/gateway/src/job/placement.rs
+++ b/crates/gateway/src/job/placement.rs
@@ -166,6 +166,7 @@
             limit = limit.map(RequestRate::per_second),
             scheduler = grant.map(Grant::scheduler),
             expected_ms = grant.map(|grant| grant.expected.as_millis() as u64),
+            leaving = server.is_leaving().then_some(true),
             attempt = self.tried.len() + 1,
             ms = self.arrival.elapsed().as_millis() as u64,
             "placed"
--- a/crates/gateway/src/job/withdrawal.rs
+++ b/crates/gateway/src/job/withdrawal.rs
@@ -22,7 +22,16 @@
             );
             return true;
         }
-        let Some(hindrance) = server.facts.withdrawal() else {
+        let continues = self.continuation.origin().is_some();
+        if continues && server.is_leaving() && self.gateway.link.is_full() {
+            tracing::info!(
+                request = self.call.id,
+                upstream = %server.entry.id,
+                "own link is full; nothing is sent to an upstream that leaves"
+            );
+            return true;
+        }
+        let Some(hindrance) = server.facts.withdrawal(continues) else {
             return false;
         };
         tracing::info!(
@@ -43,10 +52,12 @@
         }
         let (request, upstream) = (self.call.id.as_str(), server.entry.id.as_str());
         if meta.leaving && server.facts.record_leaving(request) {
+            let time = self.gateway.settings.continuation_time();
+            server.facts.record_drain_end(Instant::now() + time);
             tracing::info!(
                 request,
                 upstream,
-                "upstream says that it is leaving; it gets no more requests"
+                "upstream says that it is leaving; only streams that have begun go on there"
             );
         }
         if let Some(remaining) = meta.warmup {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -67,6 +67,9 @@
 /// [`Settings::drain`].
 const SYNC_MARGIN: Duration = Duration::from_millis(200);
 
+/// The fraction of [`Settings::drain`] in which streams are sent to an upstream that leaves.
+const CONTINUATION_FRACTION: f64 = 0.75;
+
 fn default_drain() -> Duration {
     Duration::from_secs(2)
 }
@@ -150,6 +153,12 @@
         self.drain.saturating_sub(SYNC_MARGIN)
     }
 
+    /// Returns the time for which streams that have begun are sent to an upstream that leaves. The rest of
+    /// [`Self::drain`] is left for their way there.
+    pub fn continuation_time(&self) -> Duration {
+        self.drain.mul_f64(CONTINUATION_FRACTION)
+    }
+
     /// Returns the settings that can change while the process runs.
     pub fn tuning(&self) -> Tuning {
         Tuning {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,9 +1,12 @@
 //! The listed upstreams, their idle connections, and the load that this router puts on each.
 
 mod departed;
+mod draining;
 mod facts;
+mod rating;
 mod server;
 mod shards;
+mod slot;
 mod warmth;
 
 use std::cmp::Ordering;
@@ -18,106 +21,16 @@
 
 use crate::model::Upstream;
 use crate::origins::Origin;
-use crate::permits::Permit;
-use crate::schedulers::Grant;
 
 use departed::Departed;
+use draining::Draining;
 pub use facts::{Facts, Hindrance, Withdrawal};
+use rating::{Intake, Moment, Rating};
 pub use server::{BrokenRequest, Server};
-use server::{Moment, Rating};
+pub use slot::Slot;
 pub use warmth::Warmth;
 use warmth::Warmths;
 
-/// A request's share of an upstream's load, released when dropped.
-#[derive(Debug)]
-pub struct Slot {
-    server: Arc<Server>,
-    unread: u64,
-    grant: Option<Grant>,
-    permit: Option<Permit>,
-}
-
-impl Slot {
-    /// Counts a request with `unread` prompt tokens as load of an upstream.
-    fn open(server: Arc<Server>, unread: u64) -> Self {
-        {
-            let mut state = server.state.lock();
-            state.running += 1;
-            state.unread += unread;
-            state.breaker.start();
-        }
-        server.facts.count_placed();
-        Self {
-            server,
-            unread,
-            permit: None,
-            grant: None,
-        }
-    }
-
-    /// Adds the grant of the home that chose the upstream.
-    pub fn attach(&mut self, grant: Grant) {
-        self.grant = Some(grant);
-    }
-
-    /// Returns the grant of the home that chose the upstream; `None` if this router chose it.
-    pub fn grant(&self) -> Option<&Grant> {
-        self.grant.as_ref()
-    }
-
-    /// Returns the upstream that the slot belongs to.
-    pub fn server(&self) -> &Arc<Server> {
-        &self.server
-    }
-
-    /// Removes the prompt from the upstream's load, and tells the home that placed it. The first event shows
-    /// that it has been read.
-    pub fn mark_prompt_read(&mut self) {
-        self.discount_prompt();
-        if let Some(grant) = &mut self.grant {
-            grant.ticket.record_begun();
-        }
-    }
-
-    fn discount_prompt(&mut self) {
-        let mut state = self.server.state.lock();
-        state.unread = state.unread.saturating_sub(self.unread);
-        self.unread = 0;
-    }
-
-    /// Records the permit of the request, which the upstream's limit allows.
-    pub fn mark_permitted(&mut self, permit: Permit) {
-        self.permit = Some(permit);
-    }
-
-    /// Returns the permit that was taken for the request.
-    pub fn permit(&self) -> Option<Permit> {
-        self.permit
-    }
-
-    /// Returns whether the request must not be sent since the upstream is cold: it was placed before that was known,
-    /// or its permit is too old.
-    pub fn lacks_permit(&self, now: Duration) -> bool {
-        match self.permit.filter(Permit::is_cold) {
-            Some(permit) => permit.is_overdue(),
-            None => self.server.cold_rate(now).is_some(),
-        }
-    }
-
-    /// Gives the slot up before the request was sent.
-    pub fn cancel(self) {
-        self.server.state.lock().breaker.abandon();
-        self.server.facts.discount_placed();
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.discount_prompt();
-        self.server.state.lock().running -= 1;
-    }
-}
-
 /// Why no upstream of a service can be used now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Block {
@@ -150,17 +63,47 @@
     pub tie_breaker: u64,
 }
 
+impl Requirements<'_> {
+    /// Returns whether an upstream that takes some requests takes this one.
+    fn may_use(&self, intake: Intake) -> bool {
+        match intake {
+            Intake::All => true,
+            Intake::Continuations => self.origin.is_some(),
+            Intake::None => false,
+        }
+    }
+}
+
 /// All listed upstreams, and those in their grace period.
 #[derive(Debug, Default)]
 pub struct Servers {
     table: HashMap<UpstreamId, Arc<Server>>,
     departed: Departed,
+    draining: Draining,
     /// The data centres whose upstreams get no requests.
     evacuated: IndexSet<DataCentreId>,
     warmths: Warmths,
 }
 
 impl Servers {
+    /// Creates an empty list. Streams go on at upstreams that leave for `drain_time` after that was learnt.
+    pub fn open(drain_time: Duration) -> Self {
+        Self {
+            draining: Draining::open(drain_time),
+            ..Self::default()
+        }
+    }
+
+    /// Records the earliest time at which the changes that follow can have been made; `None` if that isn't known.
+    pub fn set_changed_since(&mut self, at: Option<Instant>) {
+        self.draining.changed_since = at;
+    }
+
+    /// Returns the time for which streams go on at upstreams that leave.
+    pub fn drain_time(&self) -> Duration {
+        self.draining.time
+    }
+
     /// Inserts or updates an upstream. Its state is kept unless it restarted or its address changed, and
     /// what its answers said of it unless it restarted.
     pub fn put(&mut self, entry: Upstream) {
@@ -182,8 +125,17 @@
                 server.facts.clear_ended();
             }
         }
+        let known = self.table.get(&server.entry.id);
+        let known = known.filter(|known| known.entry.is_same_process(&server.entry));
+        match server.entry.draining {
+            true => self
+                .draining
+                .record(&server, known.map(|known| &known.entry)),
+            false => server.facts.clear_drain_end(),
+        }
         let id = server.entry.id.clone();
         self.departed.forget(&id);
+        self.draining.forget(&id);
         self.table.insert(id, Arc::new(server));
     }
 
@@ -217,6 +169,17 @@
         removed.is_some()
     }
 
+    /// Removes an upstream whose entry was removed: it may have left without saying so, and go on serving like one that
+    /// drains. Returns whether it was known.
+    pub fn withdraw(&mut self, id: &UpstreamId) -> bool {
+        let known = self.table.get(id).cloned();
+        let removed = self.remove(id);
+        if let Some(server) = known {
+            self.draining.insert(&server);
+        }
+        removed
+    }
+
     /// Starts the grace period of all upstreams that are absent from a full list.
     pub fn mark_missing(&mut self, listed: &[UpstreamId], grace: Duration) {
         self.departed.retain_held(listed);
@@ -237,6 +200,7 @@
 
     /// Removes the upstreams whose grace period has ended, and returns their ids.
     pub fn drop_missing(&mut self) -> Vec<UpstreamId> {
+        self.draining.drop_ended();
         let expired = self.table.iter().filter(|(_, server)| !server.is_listed());
         let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
@@ -272,9 +236,8 @@
     /// Returns how long no upstream that suits a request can be used because of limits or pauses; `None` if
     /// these are not the reason.
     pub fn blocked(&self, requirements: &Requirements<'_>, now: Duration) -> Option<Block> {
-        let usable = self.usable(requirements.service);
-        let suits = usable.filter(|server| self.suits(server, requirements));
-        suits.filter_map(|server| server.blocked(now)).min()
+        let candidates = self.candidates(requirements);
+        candidates.filter_map(|server| server.blocked(now)).min()
     }
 
     /// Returns how long all upstreams of a service are blocked; `None` if one of them isn't.
@@ -337,8 +300,29 @@
             && allowed.is_none_or(|allowed| allowed.contains(data_centre))
     }
 
-    fn suits(&self, server: &Server, requirements: &Requirements<'_>) -> bool {
-        self.admits(server, requirements.allowed) && server.suits(requirements)
+    /// Iterates over the upstreams that a request with these requirements can reach, now or when their limits or
+    /// pauses allow. Only streams that have begun can reach those that leave.
+    fn candidates<'a>(
+        &'a self,
+        requirements: &'a Requirements<'a>,
+    ) -> impl Iterator<Item = &'a Arc<Server>> {
+        let now = Instant::now();
+        self.reachable(requirements).filter(move |server| {
+            requirements.may_use(server.intake(now))
+                && server.is_listed()
+                && server.suits(requirements)
+        })
+    }
+
+    /// Iterates over the listed upstreams, for streams that have begun also over those that have just left, without
+    /// the data centres that a request must not be sent to.
+    fn reachable<'a>(
+        &'a self,
+        requirements: &'a Requirements<'a>,
+    ) -> impl Iterator<Item = &'a Arc<Server>> {
+        let left = requirements.origin.map(|_| self.draining.left());
+        let all = self.table.values().chain(left.into_iter().flatten());
+        all.filter(|server| self.admits(server, requirements.allowed))
     }
 
     /// Returns whether a service has an upstream that is listed and not leaving.
@@ -349,8 +333,7 @@
     /// Returns whether an upstream may serve a request with these requirements, now or when its limit or
     /// pause allows.
     pub fn can_serve(&self, requirements: &Requirements<'_>) -> bool {
-        let mut usable = self.usable(requirements.service);
-        usable.any(|server| self.suits(server, requirements))
+        self.candidates(requirements).next().is_some()
     }
 
     /// Returns whether an upstream of the version that began a stream is listed and not leaving, even if it
@@ -375,9 +358,7 @@
         near: &str,
     ) -> Option<Slot> {
         let at = Moment::new(now);
-        let admitted = self.table.values();
-        let admitted = admitted.filter(|server| self.admits(server, requirements.allowed));
-        let rated = admitted.filter_map(|server| {
+        let rated = self.reachable(requirements).filter_map(|server| {
             let rating = server.rate(requirements, at)?;
             Some((server, rating))
         });
@@ -386,6 +367,9 @@
             rated.retain(|(_, rating)| rating.accepts);
         }
         // Otherwise the circuit breaker of every remaining upstream is open; one of them may still serve.
+        if rated.iter().any(|(_, rating)| !rating.leaving) {
+            rated.retain(|(_, rating)| !rating.leaving);
+        }
         let candidate = |(server, rating): &(&Arc<Server>, Rating)| Candidate {
             member: server.member,
             load: rating.load,
--- a/crates/gateway/src/upstreams/facts.rs
+++ b/crates/gateway/src/upstreams/facts.rs
@@ -1,4 +1,4 @@
-//! What the answers of one upstream process say of whether it takes requests.
+//! What is known of whether one upstream process takes requests: what its answers say, and since when it drains.
 //!
 //! These facts hold for the process, not for its address or for its entry in the list, which may lag. They
 //! bind this router only; see [docs/design/service.md](../../../../docs/design/service.md).
@@ -33,7 +33,7 @@
 pub struct Hindrance {
     /// What the upstream said.
     pub reason: Withdrawal,
-    /// The id of the request whose answer said so.
+    /// The id of the request whose answer said so; empty if only the list did.
     pub source: String,
     /// The time until the upstream may get a request; `None` if never.
     pub wait: Option<Duration>,
@@ -55,6 +55,8 @@
 #[derive(Debug, Default)]
 struct Known {
     leaving: Option<Fact>,
+    /// When the last request may be sent there; `None` while it isn't known to leave.
+    drain_end: Option<Instant>,
     pause: Option<Fact>,
     /// The number of requests placed since the end of the pause.
     placed: u32,
@@ -63,17 +65,33 @@
 }
 
 impl Known {
-    /// Returns what keeps any request from being sent.
-    fn withdrawn(&self, now: Instant) -> Option<Hindrance> {
-        if let Some(fact) = &self.leaving {
-            return Some(hindrance(Withdrawal::Leaving, fact, None));
+    /// Returns what keeps a request from being sent; one that `continues` a stream may be sent until the end of the
+    /// drain time.
+    fn withdrawn(&self, now: Instant, continues: bool) -> Option<Hindrance> {
+        let drained = self.drain_end.is_some_and(|end| now >= end);
+        let leaving = self.leaving.as_ref();
+        if drained || leaving.is_some_and(|_| !continues || self.drain_end.is_none()) {
+            return Some(Hindrance {
+                reason: Withdrawal::Leaving,
+                source: leaving.map_or_else(String::new, |fact| fact.source.clone()),
+                wait: None,
+            });
         }
         let left = self.paused(now)?;
-        Some(hindrance(
-            Withdrawal::Pausing,
-            self.pause.as_ref()?,
-            Some(left),
-        ))
+        self.pausing(left)
+    }
+
+    /// Returns what keeps requests from being placed for some time.
+    fn delay(&self, now: Instant) -> Option<Duration> {
+        self.paused(now).or_else(|| self.stepped(now))
+    }
+
+    fn pausing(&self, left: Duration) -> Option<Hindrance> {
+        Some(Hindrance {
+            reason: Withdrawal::Pausing,
+            source: self.pause.as_ref()?.source.clone(),
+            wait: Some(left),
+        })
     }
 
     /// Returns what is left of a pause.
@@ -95,14 +113,6 @@
     }
 }
 
-fn hindrance(reason: Withdrawal, fact: &Fact, wait: Option<Duration>) -> Hindrance {
-    Hindrance {
-        reason,
-        source: fact.source.clone(),
-        wait,
-    }
-}
-
 impl Facts {
     /// Records that the upstream is shutting down; returns whether that is news.
     pub fn record_leaving(&self, source: &str) -> bool {
@@ -138,27 +148,43 @@
         true
     }
 
+    /// Records when the last request may be sent to an upstream that leaves. The earliest such time holds, however often
+    /// and in which way the router learns that it leaves.
+    pub fn record_drain_end(&self, end: Instant) {
+        let mut known = self.0.lock();
+        known.drain_end = Some(known.drain_end.map_or(end, |before| before.min(end)));
+    }
+
+    /// Takes back that the upstream leaves, as its entry says that it is available. What its answers said holds.
+    pub(super) fn clear_drain_end(&self) {
+        let mut known = self.0.lock();
+        if known.leaving.is_none() {
+            known.drain_end = None;
+        }
+    }
+
+    /// Returns when the last request may be sent to an upstream that leaves; `None` if it isn't known to.
+    pub fn drain_end(&self) -> Option<Instant> {
+        self.0.lock().drain_end
+    }
+
     /// Returns why no further request may be placed at the upstream now.
     pub fn hindrance(&self) -> Option<Hindrance> {
         let now = Instant::now();
         let known = self.0.lock();
-        let stepped = || {
-            let left = known.stepped(now)?;
-            let fact = known.pause.as_ref()?;
-            Some(hindrance(Withdrawal::Pausing, fact, Some(left)))
-        };
-        known.withdrawn(now).or_else(stepped)
+        let stepped = || known.pausing(known.stepped(now)?);
+        known.withdrawn(now, false).or_else(stepped)
     }
 
-    /// Returns whether there is a [`Self::hindrance`].
-    pub(super) fn hinders(&self, now: Instant) -> bool {
-        let known = self.0.lock();
-        known.leaving.is_some() || known.paused(now).is_some() || known.stepped(now).is_some()
+    /// Returns for how long a pause allows no further request; `None` if one may be placed now.
+    pub(super) fn delay(&self, now: Instant) -> Option<Duration> {
+        self.0.lock().delay(now)
     }
 
-    /// Returns why a request that was placed at the upstream may no longer be sent there.
-    pub fn withdrawal(&self) -> Option<Hindrance> {
-        self.0.lock().withdrawn(Instant::now())
+    /// Returns why a request that was placed at the upstream may no longer be sent there. One that `continues` a
+    /// stream may be sent while the upstream drains.
+    pub fn withdrawal(&self, continues: bool) -> Option<Hindrance> {
+        self.0.lock().withdrawn(Instant::now(), continues)
     }
 
     /// Returns whether the upstream is shutting down.
--- a/crates/gateway/src/upstreams/server.rs
+++ b/crates/gateway/src/upstreams/server.rs
@@ -11,11 +11,11 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use super::rating::{Intake, Moment};
 use super::shards::ShardMemo;
-use super::{Block, Facts, Requirements, Warmth};
+use super::{Block, Facts, Warmth};
 use crate::link::{Link, LinkError};
 use crate::model::Upstream;
-use crate::origins::Origin;
 
 /// The time-out for connecting to an upstream; twice the longest latency within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -36,37 +36,6 @@
 /// The largest number of idle connections that are kept per upstream.
 const MAX_IDLE_LINKS: usize = 24;
 
-/// The number of unread prompt tokens that count as much load as one running request.
-const UNREAD_TOKENS_PER_REQUEST: f64 = 4000.0;
-
-/// One moment on both clocks. A placement looks at all upstreams, and reads the clock once.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Moment {
-    /// The time since the process started.
-    pub now: Duration,
-    /// The same moment.
-    pub instant: Instant,
-}
-
-impl Moment {
-    /// Creates the current moment, `now` after the process started.
-    pub fn new(now: Duration) -> Self {
-        Self {
-            now,
-            instant: Instant::now(),
-        }
-    }
-}
-
-/// How an upstream at which a request may run compares with others.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Rating {
-    /// Its work divided by its capacity.
-    pub load: f64,
-    /// Whether its circuit breaker allows a request.
-    pub accepts: bool,
-}
-
 /// This router's connections and requests at one upstream.
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -92,7 +61,7 @@
 }
 
 impl State {
-    fn is_listed(&self, now: Instant) -> bool {
+    pub(super) fn is_listed(&self, now: Instant) -> bool {
         self.grace_end.is_none_or(|until| now < until)
     }
 
@@ -111,7 +80,7 @@
     }
 
     /// Returns whether the limit may allow a request; one that is not `limited` needs that there is none.
-    fn allows(&self, limited: bool, cold: bool, at: Moment) -> bool {
+    pub(super) fn allows(&self, limited: bool, cold: bool, at: Moment) -> bool {
         match limited {
             true => self.blocked(cold, at).is_none(),
             false => !cold && self.limit(at.now).is_none(),
@@ -168,6 +137,21 @@
         }
     }
 
+    /// Returns the upstream as one that drains, after it is no longer listed: some leave without saying so.
+    pub(super) fn as_draining(&self) -> Self {
+        Self {
+            entry: Upstream {
+                draining: true,
+                ..self.entry.clone()
+            },
+            member: self.member,
+            shard_memo: ShardMemo::default(),
+            state: Arc::clone(&self.state),
+            facts: Arc::clone(&self.facts),
+            warmth: Arc::clone(&self.warmth),
+        }
+    }
+
     /// Takes an idle connection, or opens one if none is fresh enough. `once` says that the request
     /// may not be repeated, `link_full` that this router's own link is full.
     ///
@@ -339,7 +323,7 @@
         let block = |wait, pausing| Block { wait, pausing };
         let cold = self.cold_rate(now).is_some();
         let limit = self.state.lock().blocked(cold, Moment::new(now));
-        let pause = self.facts.hindrance().and_then(|known| known.wait);
+        let pause = self.facts.delay(Instant::now());
         let limit = limit.map(|wait| block(wait, false));
         limit.max(pause.map(|wait| block(wait, true)))
     }
@@ -367,7 +351,7 @@
     }
 
     pub(super) fn is_usable_at(&self, now: Instant) -> bool {
-        !self.is_leaving() && self.state.lock().is_listed(now)
+        self.intake(now) == Intake::All && self.state.lock().is_listed(now)
     }
 
     /// Returns whether the upstream is shutting down, as its entry or its answers say.
@@ -387,34 +371,4 @@
         let lost = self.state.lock().lost_idle;
         lost.is_some_and(|at| at.elapsed() < CRASH_WINDOW)
     }
-
-    /// Returns whether it is an upstream at which a request with these requirements may run at some time.
-    pub(super) fn suits(&self, requirements: &Requirements<'_>) -> bool {
-        let continues = |origin: &Origin| self.version() == Some(&origin.version);
-        self.entry.service == *requirements.service
-            && !requirements.tried.contains(&self.entry.id)
-            && requirements.origin.is_none_or(continues)
-    }
-
-    /// Rates the upstream for a request with these requirements; `None` if the request may not be sent
-    /// there, apart from the circuit breaker.
-    pub(super) fn rate(&self, requirements: &Requirements<'_>, at: Moment) -> Option<Rating> {
-        let fits = self.suits(requirements)
-            && !self.entry.draining
-            && !requirements.denied.contains(&self.entry.id)
-            && !self.facts.hinders(at.instant);
-        if !fits {
-            return None;
-        }
-        let cold = self.cold_rate(at.now).is_some();
-        let state = self.state.lock();
-        if !state.allows(requirements.limited, cold, at) || !state.is_listed(at.instant) {
-            return None;
-        }
-        let work = f64::from(state.running) + state.unread as f64 / UNREAD_TOKENS_PER_REQUEST;
-        Some(Rating {
-            load: work / f64::from(self.entry.slots.max(1)),
-            accepts: state.breaker.allows(at.now),
-        })
-    }
 }
--- a/crates/gateway/src/upstreams/shards.rs
+++ b/crates/gateway/src/upstreams/shards.rs
@@ -7,7 +7,7 @@
 use fescue_core::{ServiceId, UpstreamId, hash};
 use fescue_policy::scheduling::{self, Member};
 
-use super::server::Moment;
+use super::rating::Moment;
 use super::{Requirements, Server, Servers, Slot};
 use crate::schedulers::short_hash;
 
--- a/crates/gateway/tests/suite/facts.rs
+++ b/crates/gateway/tests/suite/facts.rs
@@ -141,7 +141,7 @@
     servers.put(born("a", 1));
     assert!(facts(&servers, "a").record_pause("r", 3 * SECOND, Instant::now()));
     assert_eq!(placed(&servers), 0);
-    let known = facts(&servers, "a").withdrawal().expect("a pause");
+    let known = facts(&servers, "a").withdrawal(false).expect("a pause");
     assert_eq!(known.reason, Withdrawal::Pausing);
     assert_eq!(known.source, "r");
     let block = |wait, pausing| Some(Block { wait, pausing });
@@ -152,7 +152,7 @@
     advance(SECOND / 1000).await;
     assert_eq!(placed(&servers), 2);
     assert_eq!(blocked(&servers), block(SECOND / 4, true));
-    assert_eq!(facts(&servers, "a").withdrawal(), None);
+    assert_eq!(facts(&servers, "a").withdrawal(false), None);
     advance(SECOND / 4).await;
     assert_eq!(placed(&servers), 2);
     advance(SECOND / 4).await;
@@ -180,7 +180,7 @@
 #[tokio::test(start_paused = true)]
 async fn pause_changes_with_repeats() {
     let facts = Facts::default();
-    let wait = || facts.withdrawal().and_then(|known| known.wait);
+    let wait = || facts.withdrawal(false).and_then(|known| known.wait);
     let before = Instant::now();
     advance(SECOND / 10).await;
     assert!(facts.record_pause("r", 3 * SECOND, before));
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod crowd;
 mod cut_off;
 mod drain;
+mod draining;
 mod evacuations;
 mod facts;
 mod feeds;
--- a/crates/router/tests/suite/gateway_versions.rs
+++ b/crates/router/tests/suite/gateway_versions.rs
@@ -3,6 +3,7 @@
 
 mod breaks;
 mod deaths;
+mod draining;
 mod entries;
 mod lookups;
 mod out_of_step;
