gateway: send nothing to an upstream that leaves through a full link, also if it was placed before

Cause: the check right before a request is sent looked at the entry as it was when the request was placed, so one that was placed before its upstream began to leave was sent through a full link, where it may wait past the end.

Change: the check looks at what is known of the process now, for all requests.

--- a/crates/gateway/src/job/withdrawal.rs
+++ b/crates/gateway/src/job/withdrawal.rs
@@ -22,8 +22,8 @@
             );
             return true;
         }
-        let continues = self.continuation.origin().is_some();
-        if continues && server.is_leaving() && self.gateway.link.is_full() {
+        // What is sent through a full link may arrive after the drain time.
+        if server.facts.drain_end().is_some() && self.gateway.link.is_full() {
             tracing::info!(
                 request = self.call.id,
                 upstream = %server.entry.id,
@@ -31,6 +31,7 @@
             );
             return true;
         }
+        let continues = self.continuation.origin().is_some();
         let Some(hindrance) = server.facts.withdrawal(continues) else {
             return false;
         };
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -99,11 +99,6 @@
         self.draining.changed_since = at;
     }
 
-    /// Returns the time for which streams go on at upstreams that leave.
-    pub fn drain_time(&self) -> Duration {
-        self.draining.time
-    }
-
     /// Inserts or updates an upstream. Its state is kept unless it restarted or its address changed, and
     /// what its answers said of it unless it restarted.
     pub fn put(&mut self, entry: Upstream) {
--- a/crates/router/tests/suite/gateway_resumes.rs
+++ b/crates/router/tests/suite/gateway_resumes.rs
@@ -154,21 +154,22 @@
 
 /// Sends a request and returns all bytes until the end of its connection.
 async fn raw(site: &Site, address: SocketAddr, path: &str, id: &str) -> String {
-    raw_with(site, address, path, id, "3000").await
+    raw_with(
+        site,
+        address,
+        path,
+        id,
+        "x-fescuedrift-deadline-ms: 3000\r\n",
+    )
+    .await
 }
 
-/// Sends a request as [`raw`] does, with a deadline in milliseconds.
-async fn raw_with(
-    site: &Site,
-    address: SocketAddr,
-    path: &str,
-    id: &str,
-    deadline: &str,
-) -> String {
+/// Sends a request as [`raw`] does, with some fields of its head.
+async fn raw_with(site: &Site, address: SocketAddr, path: &str, id: &str, fields: &str) -> String {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let request = format!(
         "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {}\r\n\
-         x-fescuedrift-attempt-id: {id}\r\nx-fescuedrift-deadline-ms: {deadline}\r\n\
+         x-fescuedrift-attempt-id: {id}\r\n{fields}\
          x-fescuedrift-model: m\r\nx-fescuedrift-token-usage: 10,30\r\n\
          x-fescuedrift-prompt-prefix: aa:9,{id}:1\r\nconnection: close\r\n\
          content-length: 0\r\n\r\n",
@@ -262,8 +263,22 @@
     let gateway = site.ready("vm-1").await;
     for (number, deadline) in ["1e22", "18446744073709551615", "3000"].iter().enumerate() {
         let id = format!("abc5{number}");
-        let response = raw_with(&site, gateway.ports.callers, "/chat/1", &id, deadline).await;
+        let fields = format!("x-fescuedrift-deadline-ms: {deadline}\r\n");
+        let response = raw_with(&site, gateway.ports.callers, "/chat/1", &id, &fields).await;
         let whole = numbers(&response) == [1, 2, 3, 4, 5, 6] && is_complete(&response);
         assert!(whole, "{deadline}: {response}");
     }
 }
+
+/// Guards against a stream that begins anew at a caller that has some of it: nothing can follow an id that is no number.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refuses_to_resume_after_an_id_that_is_no_number() {
+    let site = Site::open("unnumbered", 1_000_000).await;
+    let gateway = site.ready("vm-1").await;
+    for last in ["three", "-3", "3.5"] {
+        let fields = format!("last-event-id: {last}\r\nresumes: abc6\r\n");
+        let response = raw_with(&site, gateway.ports.callers, "/chat/1", "abc7", &fields).await;
+        assert!(response.starts_with("HTTP/1.1 400 "), "{last}: {response}");
+    }
+    assert_eq!(site.runs("abc7"), 0);
+}
